--- /dev/null
+++ b/daemons/dispatch_main.cc
@@ -0,0 +1,114 @@
+// The dispatch node's process on the users' platform: reads the platform's settings file, serves
+// until SIGTERM, then stops as planned.
+//
+// Exit codes: 0 stopped as planned; 1 could not start; 2 wrong command line or settings.
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+#include "job_front.h"
+#include "kv_store.h"
+#include "platform_settings.h"
+#include "sapphireflow/transport/dispatch_service.h"
+#include "sapphireflow/transport/http_client.h"
+#include "sapphireflow/transport/log4cplus_log.h"
+#include "worker_calls.h"
+
+namespace {
+
+using sapphireflow::LogEvent;
+using sapphireflow::LogLevel;
+using sapphireflow::platform::PlatformSettings;
+
+constexpr int kCouldNotStart = 1;
+constexpr int kWrongUsage = 2;
+// names the settings file, as the platform's pages say
+constexpr char kSettingsVariable[] = "SAPPHIREFLOW_CONFIG";
+constexpr char kStandardOutput[] = "-";
+
+sapphireflow::Checked<PlatformSettings> Load(const std::string& file) {
+  std::ifstream input(file);
+  if (!input) return sapphireflow::Findings{{file, "cannot be read"}};
+  std::ostringstream text;
+  text << input.rdbuf();
+  return sapphireflow::platform::ReadPlatformSettings(text.str(), file);
+}
+
+// waits until the process is asked to stop; a changed settings file is only checked, since all
+// that it holds is fixed for the life of a process
+void WaitForStop(const sigset_t& signals, const std::string& file, sapphireflow::EventLog& log) {
+  for (int received = 0; sigwait(&signals, &received) == 0 && received == SIGHUP;) {
+    const auto settings = Load(file);
+    const auto* findings = std::get_if<sapphireflow::Findings>(&settings);
+    log.Write(LogEvent(findings != nullptr ? LogLevel::kWarning : LogLevel::kInfo, "reloaded",
+                       {{"file", file},
+                        {"findings", std::to_string(findings != nullptr ? findings->size() : 0)}}));
+  }
+}
+
+int Serve(const PlatformSettings& settings, const std::string& file) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
+  // blocked before any thread starts, so that all threads inherit it
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  sapphireflow::Log4cplusLog log(kStandardOutput);
+  sapphireflow::HttpClient http(1);
+  const auto& addresses = settings.addresses();
+  sapphireflow::platform::KvStore store(addresses.store(), http, log);
+  sapphireflow::platform::WorkerCalls workers(http);
+  const sapphireflow::platform::AnswerFormat format;
+  sapphireflow::DispatchService service(
+      sapphireflow::DispatchAddresses(settings.zone(), addresses.callers(), addresses.readiness(),
+                                      addresses.peers(), settings.stop_grace()),
+      sapphireflow::DispatchSettings(settings.leases(), settings.remote_factor(), "least-slack",
+                                     "earliest-end", "consecutive-failures"),
+      store, workers, format, log);
+  sapphireflow::platform::JobFront callers(service.node(), service.events(), service.replies(),
+                                           format);
+  sapphireflow::platform::ReadinessFront readiness(service.node());
+  if (const auto error = service.Start(callers, readiness)) {
+    std::cerr << error->code() << " " << error->message() << "\n";
+    return kCouldNotStart;
+  }
+  WaitForStop(signals, file, log);
+  service.DrainAndStop();
+  // its last calls refer to the service
+  http.Stop();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    TCLAP::CmdLine command("Dispatch node of sapphireflow on the users' platform.", ' ',
+                           SAPPHIREFLOW_VERSION);
+    const char* from_environment = std::getenv(kSettingsVariable);
+    TCLAP::ValueArg<std::string> file(
+        "s", "settings",
+        std::string("settings file; else the one that ") + kSettingsVariable + " names", false,
+        from_environment != nullptr ? from_environment : "", "file", command);
+    TCLAP::SwitchArg check("c", "check", "check the settings and exit", command);
+    command.parse(argc, argv);
+    const auto settings = Load(file.getValue());
+    if (const auto* findings = std::get_if<sapphireflow::Findings>(&settings)) {
+      for (const auto& finding : *findings) std::cerr << finding.text() << "\n";
+      return kWrongUsage;
+    }
+    if (check.getValue()) {
+      std::cout << file.getValue() << ": no faults found\n";
+      return 0;
+    }
+    return Serve(std::get<PlatformSettings>(settings), file.getValue());
+  } catch (const TCLAP::ArgException& problem) {
+    std::cerr << problem.argId() << ": " << problem.error() << "\n";
+    return kWrongUsage;
+  }
+}
--- /dev/null
+++ b/include/sapphireflow/dispatch/job_event.h
@@ -0,0 +1,166 @@
+// Part of dispatch: what enters and leaves a shard of coordinated jobs.
+#ifndef SAPPHIREFLOW_DISPATCH_JOB_EVENT_H_
+#define SAPPHIREFLOW_DISPATCH_JOB_EVENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "sapphireflow/dispatch/dispatch_message.h"
+#include "sapphireflow/model/error.h"
+#include "sapphireflow/observe/event_log.h"
+
+namespace sapphireflow {
+
+/// @brief A caller hands in a job and waits for its end.
+class SubmitWork : public Comparable<SubmitWork> {
+ public:
+  SubmitWork(RequestToken token, JobOrderPtr order) : m_token(token), m_order(std::move(order)) {}
+  RequestToken token() const { return m_token; }
+  const JobOrderPtr& order() const { return m_order; }
+  auto Fields() const { return std::tie(m_token, *m_order); }
+
+ private:
+  RequestToken m_token;
+  // invariant: not null
+  JobOrderPtr m_order;
+};
+
+/// @brief The caller's connection has ended: nobody waits for this answer.
+class CallerGone : public Comparable<CallerGone> {
+ public:
+  explicit CallerGone(RequestToken token) : m_token(token) {}
+  RequestToken token() const { return m_token; }
+  auto Fields() const { return std::tie(m_token); }
+
+ private:
+  RequestToken m_token;
+};
+
+enum class WorkQuestion { kState, kCancel, kWaitingCount };
+
+/// @brief A caller asks about a job, cancels it, or counts a queue's waiting jobs.
+class AskWork : public Comparable<AskWork> {
+ public:
+  AskWork(RequestToken token, WorkQuestion question, JobKey job, std::string queue)
+      : m_token(token), m_question(question), m_job(job), m_queue(std::move(queue)) {}
+  RequestToken token() const { return m_token; }
+  WorkQuestion question() const { return m_question; }
+  JobKey job() const { return m_job; }
+  const std::string& queue() const { return m_queue; }
+  auto Fields() const { return std::tie(m_token, m_question, m_job, m_queue); }
+
+ private:
+  RequestToken m_token;
+  WorkQuestion m_question;
+  JobKey m_job;
+  std::string m_queue;
+};
+
+/// @brief An owner is gone or out of touch: its runs here go on or lapse without news.
+class OwnerLost : public Comparable<OwnerLost> {
+ public:
+  explicit OwnerLost(const NodeId& owner) : m_owner(owner) {}
+  const NodeId& owner() const { return m_owner; }
+  auto Fields() const { return std::tie(m_owner); }
+
+ private:
+  NodeId m_owner;
+};
+
+/// @brief Messages to or from an owner in touch were lost with a link.
+class OwnerLinkLost : public Comparable<OwnerLinkLost> {
+ public:
+  explicit OwnerLinkLost(const NodeId& owner) : m_owner(owner) {}
+  const NodeId& owner() const { return m_owner; }
+  auto Fields() const { return std::tie(m_owner); }
+
+ private:
+  NodeId m_owner;
+};
+
+class JobTick : public Comparable<JobTick> {
+ public:
+  auto Fields() const { return std::tuple<>(); }
+};
+
+using JobEvent =
+    std::variant<SubmitWork, CallerGone, AskWork, RunReports, OwnerLost, OwnerLinkLost, JobTick>;
+
+class JobInput : public Comparable<JobInput> {
+ public:
+  JobInput(Instant now, JobEvent event) : m_now(now), m_event(std::move(event)) {}
+  Instant now() const { return m_now; }
+  const JobEvent& event() const { return m_event; }
+  auto Fields() const { return std::tie(m_now, m_event); }
+
+ private:
+  Instant m_now;
+  JobEvent m_event;
+};
+
+/// @brief What a caller is told.
+enum class WorkVerdict {
+  kCompleted,  ///< every task is done
+  kFailed,     ///< a task failed as often as its queue allows
+  kRefused,    ///< no task ran or will run
+  kExpired,    ///< given up; tasks may have run; the caller may hand the job in again
+  kPending,    ///< known, no task has started
+  kRunning,
+  kCancelled,
+  kNoSuchJob,
+  kCount,  ///< the answer is a number
+};
+
+/// @brief The verdict's name as logged, e.g. `completed`.
+const char* WorkVerdictWord(WorkVerdict verdict);
+
+/// @brief The answer to a caller.
+class AnswerWork : public Comparable<AnswerWork> {
+ public:
+  AnswerWork(RequestToken token, WorkVerdict verdict, std::optional<Error> cause,
+             Duration retry_after, std::uint64_t count)
+      : m_token(token),
+        m_verdict(verdict),
+        m_cause(std::move(cause)),
+        m_retry_after(retry_after),
+        m_count(count) {}
+  RequestToken token() const { return m_token; }
+  WorkVerdict verdict() const { return m_verdict; }
+  const std::optional<Error>& cause() const { return m_cause; }
+  /// @brief When a refused caller may come back.
+  Duration retry_after() const { return m_retry_after; }
+  std::uint64_t count() const { return m_count; }
+  auto Fields() const { return std::tie(m_token, m_verdict, m_cause, m_retry_after, m_count); }
+
+ private:
+  RequestToken m_token;
+  WorkVerdict m_verdict;
+  std::optional<Error> m_cause;
+  Duration m_retry_after;
+  std::uint64_t m_count;
+};
+
+/// @brief A message to an owner, which may be this VM itself.
+class TellOwner : public Comparable<TellOwner> {
+ public:
+  TellOwner(const NodeId& owner, DispatchMessage message)
+      : m_owner(owner), m_message(std::move(message)) {}
+  const NodeId& owner() const { return m_owner; }
+  const DispatchMessage& message() const { return m_message; }
+  auto Fields() const { return std::tie(m_owner, m_message); }
+
+ private:
+  NodeId m_owner;
+  DispatchMessage m_message;
+};
+
+using JobEffect = std::variant<TellOwner, AnswerWork, LogEvent>;
+using JobEffects = std::vector<JobEffect>;
+
+}  // namespace sapphireflow
+
+#endif  // SAPPHIREFLOW_DISPATCH_JOB_EVENT_H_
--- /dev/null
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -0,0 +1,120 @@
+// Part of dispatch: the jobs that this VM coordinates, from submission to answer.
+#ifndef SAPPHIREFLOW_DISPATCH_JOB_SHARD_H_
+#define SAPPHIREFLOW_DISPATCH_JOB_SHARD_H_
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "sapphireflow/dispatch/job_event.h"
+#include "sapphireflow/dispatch/room_board.h"
+#include "sapphireflow/pipeline/filter.h"
+
+namespace sapphireflow {
+
+/// @brief Tells who commands a worker now. Thread-safe.
+class OwnerLookup {
+ public:
+  virtual ~OwnerLookup() = default;
+  /// @return nothing if the worker is not listed or nobody in touch owns it.
+  virtual std::optional<NodeId> OwnerOf(const WorkerId& worker) const = 0;
+};
+
+/// @brief Coordinates jobs: places their runs with owners, retries, and answers the callers.
+/// Thread-safe: one lock.
+///
+/// Two runs of one task never run side by side: a task is placed again only after its last run
+/// was declined or reported as ended, or certainly lapsed with its worker's lease.
+class JobShard : public Filter<JobInput, JobEffects> {
+ public:
+  /// All references outlive the shard.
+  /// @param lapse_time after this without news of an owner its runs have ended
+  JobShard(const NodeId& self, Duration lapse_time, RoomBoard& rooms, const OwnerLookup& owners);
+
+  JobEffects Apply(const JobInput& in) override;
+  /// @brief Jobs whose callers wait.
+  std::size_t OpenJobs() const;
+  /// @brief Jobs of a queue of which no task has started.
+  std::size_t WaitingJobs(const std::string& queue) const;
+
+ private:
+  enum class TaskPhase { kBlocked, kReady, kPlaced, kOrphaned, kDone };
+  struct Task {
+    TaskPhase phase = TaskPhase::kBlocked;
+    std::uint32_t run_number = 0;
+    NodeId owner;
+    // where it runs; empty until its start is reported
+    WorkerId worker;
+    std::uint32_t failures = 0;
+    std::uint32_t declines = 0;
+    std::vector<WorkerId> avoid;
+    // while orphaned
+    Instant orphaned_at{};
+    Instant ask_at{};
+  };
+  struct Job {
+    JobOrderPtr order;
+    // who waits for the answer; empty once answered
+    std::vector<RequestToken> callers;
+    Instant received_at{};
+    // by step and index
+    std::vector<std::vector<Task>> tasks;
+    // a run may have been started
+    bool may_have_run = false;
+    // answered or abandoned; kept until no run is left
+    bool closing = false;
+    Instant closed_at{};
+    // handed in again while its last runs were being stopped
+    std::optional<SubmitWork> successor;
+  };
+  struct Finished {
+    WorkVerdict verdict;
+    Instant at;
+  };
+  using Jobs = std::unordered_map<JobKey, Job>;
+  using Batches = std::map<NodeId, std::vector<RunOrder>>;
+
+  void On(const SubmitWork& event, Instant now, JobEffects& out);
+  void On(const CallerGone& event, Instant now, JobEffects& out);
+  void On(const AskWork& event, Instant now, JobEffects& out);
+  void On(const RunReports& event, Instant now, JobEffects& out);
+  void On(const OwnerLost& event, Instant now, JobEffects& out);
+  void On(const OwnerLinkLost& event, Instant now, JobEffects& out);
+  void On(const JobTick& event, Instant now, JobEffects& out);
+
+  std::optional<Error> Objection(const JobOrder& order, Duration* retry_after) const;
+  void Admit(const SubmitWork& event, Instant now, JobEffects& out);
+  void UnblockSteps(Job& job) const;
+  void PlaceReady(Job& job, Instant now, JobEffects& out);
+  void TakeReport(const NodeId& owner, const RunReport& report, Instant now, JobEffects& out);
+  void OnEnded(Job& job, Task& task, const RunReport& report, Instant now, JobEffects& out);
+  void OnDeclined(Job& job, Task& task, const RunReport& report, Instant now, JobEffects& out);
+  void CareForOrphans(Job& job, Instant now, JobEffects& out);
+  void Close(Job& job, WorkVerdict verdict, std::optional<Error> cause, Instant now,
+             JobEffects& out);
+  void CancelPlaced(const Job& job, JobEffects& out) const;
+  // erases a closing job without runs left, and admits its successor
+  void Settle(JobKey key, Instant now, JobEffects& out);
+  static bool HasRunsLeft(const Job& job, Instant now);
+  void Answer(RequestToken token, WorkVerdict verdict, JobEffects& out) const;
+
+  const NodeId m_self;
+  const Duration m_lapse_time;
+  RoomBoard& m_rooms;
+  const OwnerLookup& m_owners;
+
+  mutable std::mutex m_mutex;
+  // all below guarded by m_mutex
+  Jobs m_jobs;
+  std::unordered_map<RequestToken, JobKey> m_callers;
+  std::unordered_map<JobKey, Finished> m_finished;
+  std::deque<std::pair<Instant, JobKey>> m_finished_order;
+};
+
+}  // namespace sapphireflow
+
+#endif  // SAPPHIREFLOW_DISPATCH_JOB_SHARD_H_
--- /dev/null
+++ b/include/sapphireflow/dispatch/room_board.h
@@ -0,0 +1,67 @@
+// Part of dispatch: what every owner last said that its workers offer.
+#ifndef SAPPHIREFLOW_DISPATCH_ROOM_BOARD_H_
+#define SAPPHIREFLOW_DISPATCH_ROOM_BOARD_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sapphireflow/dispatch/dispatch_message.h"
+#include "sapphireflow/dispatch/owner_choice.h"
+
+namespace sapphireflow {
+
+/// @brief Digests of all owners, less what was sent to them since. Thread-safe: one lock.
+class RoomBoard {
+ public:
+  /// @param self whose own digest is at no distance
+  RoomBoard(const NodeId& self, std::string zone, std::unique_ptr<OwnerChoice> choice);
+
+  /// @param zone where the owner is; empty to leave it as it is
+  void Update(const NodeId& owner, const std::string& zone, const RoomDigest& digest);
+  /// @brief Drops digests of services that the owner no longer has workers of.
+  void KeepServices(const NodeId& owner, const std::vector<RoomDigest>& digests);
+  void Forget(const NodeId& owner);
+  void SetListings(const WorkerListings& listings);
+
+  /// @brief Chooses an owner for a run and books the room. Complexity: linear in all rooms.
+  /// @return nothing if no owner has a usable worker of the service that could ever run it.
+  std::optional<OwnerOffer> Book(const std::string& service, const RunOrder& order);
+  /// @brief The shortest wait for room of this size; nothing without owners.
+  std::optional<Duration> ShortestWait(const std::string& service, const Resources& needs) const;
+  /// @brief Whether an owner other than `self` has said that it has room of this size.
+  bool HasRoomElsewhere(const NodeId& self, const std::string& service,
+                        const Resources& needs) const;
+  /// @brief Whether any owner has a usable worker.
+  bool HasWorkers() const;
+  /// @brief Whether a listed worker of the service could run it, if it were empty.
+  bool CouldEverRun(const std::string& service, const Resources& needs,
+                    const std::string& label) const;
+
+ private:
+  struct Entry {
+    std::string zone;
+    std::vector<WorkerRoom> rooms;
+    Duration wait{};
+    std::int64_t milli_cores = 0;
+  };
+  using Key = std::pair<NodeId, std::string>;
+  std::optional<std::size_t> BestRoom(const Entry& entry, const RunOrder& order) const;
+  Duration DistanceTo(const NodeId& owner, const Entry& entry) const;
+
+  const NodeId m_self;
+  const std::string m_zone;
+  const std::unique_ptr<OwnerChoice> m_choice;
+  mutable std::mutex m_mutex;
+  // guarded by m_mutex; by owner and service
+  std::map<Key, Entry> m_entries;
+  // guarded by m_mutex
+  std::map<WorkerId, WorkerListing> m_listings;
+};
+
+}  // namespace sapphireflow
+
+#endif  // SAPPHIREFLOW_DISPATCH_ROOM_BOARD_H_
--- a/include/sapphireflow/membership/home_choice.h
+++ b/include/sapphireflow/membership/home_choice.h
@@ -25,6 +25,12 @@
 std::map<Address, Address> ChooseHomes(const Sizes& subjects,
                                        const std::vector<Address>& candidates);
 
+/// @brief The candidate with the highest hash of the pair (rendezvous hashing).
+///
+/// A subject or candidate that comes or goes moves no other subject, at the price of uneven shares.
+/// @param candidates not empty. Complexity: linear.
+Address ChooseHome(const Address& subject, const std::vector<Address>& candidates);
+
 }  // namespace sapphireflow
 
 #endif  // SAPPHIREFLOW_MEMBERSHIP_HOME_CHOICE_H_
--- /dev/null
+++ b/include/sapphireflow/membership/member_table.h
@@ -0,0 +1,136 @@
+// Part of membership: which VMs are in touch, and which of them commands which worker.
+#ifndef SAPPHIREFLOW_MEMBERSHIP_MEMBER_TABLE_H_
+#define SAPPHIREFLOW_MEMBERSHIP_MEMBER_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sapphireflow/dispatch/dispatch_message.h"
+#include "sapphireflow/dispatch/job_shard.h"
+#include "sapphireflow/model/ids.h"
+#include "sapphireflow/model/worker_state.h"
+
+namespace sapphireflow {
+
+/// @brief One process of the system as it lists itself.
+class MemberListing : public Comparable<MemberListing> {
+ public:
+  MemberListing(const NodeId& node, std::string zone) : m_node(node), m_zone(std::move(zone)) {}
+  const NodeId& node() const { return m_node; }
+  const std::string& zone() const { return m_zone; }
+  auto Fields() const { return std::tie(m_node, m_zone); }
+
+ private:
+  NodeId m_node;
+  std::string m_zone;
+};
+
+/// @brief What changed among the members.
+class MemberChange : public Comparable<MemberChange> {
+ public:
+  enum class Kind {
+    kJoined,    ///< in touch for the first time, or again
+    kLost,      ///< silent for too long, or its process has ended
+    kDraining,  ///< stops as planned
+    kLinkLost,  ///< in touch, but messages were lost with a link
+  };
+  MemberChange(Kind kind, const NodeId& node, std::string why)
+      : m_kind(kind), m_node(node), m_why(std::move(why)) {}
+  Kind kind() const { return m_kind; }
+  const NodeId& node() const { return m_node; }
+  const std::string& why() const { return m_why; }
+  auto Fields() const { return std::tie(m_kind, m_node, m_why); }
+
+ private:
+  Kind m_kind;
+  NodeId m_node;
+  std::string m_why;
+};
+
+using MemberChanges = std::vector<MemberChange>;
+
+/// @brief What a beat to one member carries of the table's own.
+class BeatAddress : public Comparable<BeatAddress> {
+ public:
+  BeatAddress(const Address& to, std::uint64_t sequence, std::uint64_t echo,
+              std::uint64_t link_losses, bool reset_link)
+      : m_to(to),
+        m_sequence(sequence),
+        m_echo(echo),
+        m_link_losses(link_losses),
+        m_reset_link(reset_link) {}
+  const Address& to() const { return m_to; }
+  std::uint64_t sequence() const { return m_sequence; }
+  std::uint64_t echo() const { return m_echo; }
+  std::uint64_t link_losses() const { return m_link_losses; }
+  /// @brief The member has not heard our beats for a while, though we hear its own.
+  bool reset_link() const { return m_reset_link; }
+  auto Fields() const { return std::tie(m_to, m_sequence, m_echo, m_link_losses, m_reset_link); }
+
+ private:
+  Address m_to;
+  std::uint64_t m_sequence;
+  std::uint64_t m_echo;
+  std::uint64_t m_link_losses;
+  bool m_reset_link;
+};
+
+/// @brief The members that this VM knows, and the workers listed. Thread-safe: one lock.
+class MemberTable : public OwnerLookup {
+ public:
+  MemberTable(const NodeId& self, std::string zone);
+
+  MemberChanges OnListed(const std::vector<MemberListing>& members, Instant now);
+  MemberChanges OnBeat(const MemberBeat& beat, Instant now);
+  MemberChanges OnLinkDown(const Address& peer, Instant now);
+  MemberChanges OnTick(Instant now);
+  void SetDraining();
+  void SetWorkers(const WorkerListings& workers);
+
+  /// @brief The beats that are due now.
+  std::vector<BeatAddress> DueBeats(Instant now);
+  /// @return the workers that this VM commands. Complexity: workers times members of a zone.
+  WorkerListings OwnWorkers() const;
+  std::optional<NodeId> OwnerOf(const WorkerId& worker) const override;
+  /// @return members in touch, without this VM.
+  std::vector<NodeId> InTouch() const;
+
+ private:
+  struct Member {
+    NodeId node;
+    std::string zone;
+    bool listed = false;
+    bool draining = false;
+    bool in_touch = false;
+    Instant heard_at{};
+    // while nothing was heard yet
+    Instant trusted_until{};
+    Instant next_beat{};
+    std::uint64_t heard_sequence = 0;
+    std::uint64_t sent_sequence = 0;
+    std::uint64_t echoed = 0;
+    Instant echoed_at{};
+    Instant link_reset_at{};
+    std::uint64_t own_link_losses = 0;
+    std::uint64_t its_link_losses = 0;
+  };
+  std::optional<NodeId> OwnerOfLocked(const WorkerListing& worker) const;
+  void Lose(Member& member, const std::string& why, MemberChanges& changes) const;
+
+  const NodeId m_self;
+  const std::string m_zone;
+  mutable std::mutex m_mutex;
+  // all below guarded by m_mutex; by address
+  std::map<Address, Member> m_members;
+  std::map<WorkerId, WorkerListing> m_workers;
+  bool m_draining = false;
+};
+
+}  // namespace sapphireflow
+
+#endif  // SAPPHIREFLOW_MEMBERSHIP_MEMBER_TABLE_H_
--- a/include/sapphireflow/model/error.h
+++ b/include/sapphireflow/model/error.h
@@ -31,6 +31,8 @@
   kNoTable = 2007,
   kTooManyTasks = 2008,
   kLimitReached = 2009,
+  kNotBuilt = 2010,
+  kNoConfiguration = 2011,
   // failures: the answer says for each task what happened
   kDeadlinePassed = 3001,
   kTaskFailed = 3002,
--- /dev/null
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -0,0 +1,107 @@
+// Part of ownership: the workers of some services that this VM commands, and the runs that wait
+// for them.
+#ifndef SAPPHIREFLOW_OWNERSHIP_OWNER_SHARD_H_
+#define SAPPHIREFLOW_OWNERSHIP_OWNER_SHARD_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "sapphireflow/dispatch/room_board.h"
+#include "sapphireflow/ownership/detail/worker_session.h"
+#include "sapphireflow/ownership/ownership_event.h"
+#include "sapphireflow/ownership/speed_estimator.h"
+#include "sapphireflow/ownership/start_order.h"
+#include "sapphireflow/ownership/worker_choice.h"
+#include "sapphireflow/pipeline/filter.h"
+#include "sapphireflow/placement/outlier_detector.h"
+
+namespace sapphireflow {
+
+/// @brief The policies of an owner shard.
+class OwnerPolicies {
+ public:
+  OwnerPolicies(std::unique_ptr<StartOrder> order, std::unique_ptr<WorkerChoice> choice,
+                std::unique_ptr<OutlierDetector> outliers)
+      : m_order(std::move(order)), m_choice(std::move(choice)), m_outliers(std::move(outliers)) {}
+  const StartOrder& order() const { return *m_order; }
+  const WorkerChoice& choice() const { return *m_choice; }
+  OutlierDetector& outliers() const { return *m_outliers; }
+
+ private:
+  // invariant: none is null
+  std::unique_ptr<StartOrder> m_order;
+  std::unique_ptr<WorkerChoice> m_choice;
+  std::unique_ptr<OutlierDetector> m_outliers;
+};
+
+/// @brief Decides which run starts where and when. Thread-safe: one lock.
+///
+/// Only the owner orders starts on a worker, so its count of what runs there is exact, and a
+/// worker that starts whatever it is told is never overloaded.
+class OwnerShard : public Filter<OwnerInput, OwnerEffects> {
+ public:
+  /// All references outlive the shard.
+  OwnerShard(const NodeId& self, const LeaseLimits& limits, OwnerPolicies policies,
+             FencingTokens& tokens, std::atomic<CallNumber>& next_call, const RoomBoard& peers);
+
+  OwnerEffects Apply(const OwnerInput& in) override;
+
+  /// @brief What the shard's workers offer, by service. Complexity: linear in workers and runs.
+  std::vector<RoomDigest> Digests() const;
+  /// @brief Runs that wait or are under way.
+  std::size_t Load() const;
+
+ private:
+  using Session = detail::WorkerSession;
+  using News = detail::SessionNews;
+  struct Owned {
+    Owned(WorkerListing listing, FencingToken token, const LeaseLimits& limits, Instant now)
+        : session(std::move(listing), token, limits, now) {}
+    Session session;
+    std::uint32_t refusals = 0;
+    Instant retry_at{};
+  };
+
+  void On(const OwnWorkers& event, Instant now, OwnerEffects& out);
+  void On(const CoordinatorLost& event, Instant now, OwnerEffects& out);
+  void On(const PlaceRuns& event, Instant now, OwnerEffects& out);
+  void On(const CancelRuns& event, Instant now, OwnerEffects& out);
+  void On(const AdoptRun& event, Instant now, OwnerEffects& out);
+  void On(const StartReplied& event, Instant now, OwnerEffects& out);
+  void On(const RenewalReplied& event, Instant now, OwnerEffects& out);
+  void On(const OwnerTick& event, Instant now, OwnerEffects& out);
+
+  void TakeIn(Owned& owned, const News& news, Instant now, OwnerEffects& out);
+  void DeclineOverdue(Instant now);
+  void StartWaiting(Instant now, OwnerEffects& out);
+  bool TryStart(const WaitingRun& waiting, Instant now, OwnerEffects& out);
+  bool MayTake(const Owned& owned, const WaitingRun& waiting, Instant now) const;
+  void Upkeep(Instant now, OwnerEffects& out);
+  void Decline(const WaitingRun& waiting, const std::string& reason);
+  void FlushReports(OwnerEffects& out);
+  std::vector<RoomDigest> DigestsLocked() const;
+
+  const NodeId m_self;
+  const LeaseLimits m_limits;
+  FencingTokens& m_tokens;
+  std::atomic<CallNumber>& m_next_call;
+  const RoomBoard& m_peers;
+
+  mutable std::mutex m_mutex;
+  // all below guarded by m_mutex
+  OwnerPolicies m_policies;
+  SpeedEstimator m_speeds;
+  std::map<WorkerId, Owned> m_workers;
+  std::vector<WaitingRun> m_waiting;
+  // reports of the event under way, by coordinator
+  std::map<NodeId, std::vector<RunReport>> m_reports;
+  Instant m_now{};
+};
+
+}  // namespace sapphireflow
+
+#endif  // SAPPHIREFLOW_OWNERSHIP_OWNER_SHARD_H_
--- /dev/null
+++ b/include/sapphireflow/ownership/ownership_event.h
@@ -0,0 +1,224 @@
+// Part of ownership: what enters and leaves an owner shard.
+#ifndef SAPPHIREFLOW_OWNERSHIP_OWNERSHIP_EVENT_H_
+#define SAPPHIREFLOW_OWNERSHIP_OWNERSHIP_EVENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "sapphireflow/dispatch/dispatch_message.h"
+#include "sapphireflow/model/worker_state.h"
+#include "sapphireflow/observe/event_log.h"
+#include "sapphireflow/ownership/fencing_tokens.h"
+
+namespace sapphireflow {
+
+/// @brief Number of one call to a worker; later calls of a process have higher ones.
+using CallNumber = std::uint64_t;
+
+/// @brief The workers that the shard owns from now on.
+class OwnWorkers : public Comparable<OwnWorkers> {
+ public:
+  explicit OwnWorkers(WorkerListings workers) : m_workers(std::move(workers)) {}
+  const WorkerListings& workers() const { return m_workers; }
+  auto Fields() const { return std::tie(m_workers); }
+
+ private:
+  WorkerListings m_workers;
+};
+
+/// @brief A coordinator is gone or out of touch: nobody waits for its runs.
+class CoordinatorLost : public Comparable<CoordinatorLost> {
+ public:
+  explicit CoordinatorLost(const NodeId& coordinator) : m_coordinator(coordinator) {}
+  const NodeId& coordinator() const { return m_coordinator; }
+  auto Fields() const { return std::tie(m_coordinator); }
+
+ private:
+  NodeId m_coordinator;
+};
+
+/// @brief How a start order ended.
+class StartReplied : public Comparable<StartReplied> {
+ public:
+  StartReplied(WorkerId worker, const RunKey& run, FencingToken token, CallNumber call,
+               CallOutcome outcome, std::int64_t clock_ms)
+      : m_worker(std::move(worker)),
+        m_run(run),
+        m_token(token),
+        m_call(call),
+        m_outcome(outcome),
+        m_clock_ms(clock_ms) {}
+  const WorkerId& worker() const { return m_worker; }
+  const RunKey& run() const { return m_run; }
+  /// @brief The token that the order carried.
+  FencingToken token() const { return m_token; }
+  CallNumber call() const { return m_call; }
+  CallOutcome outcome() const { return m_outcome; }
+  /// @brief The worker's clock; 0 where the answer does not say.
+  std::int64_t clock_ms() const { return m_clock_ms; }
+  auto Fields() const { return std::tie(m_worker, m_run, m_token, m_call, m_outcome, m_clock_ms); }
+
+ private:
+  WorkerId m_worker;
+  RunKey m_run;
+  FencingToken m_token;
+  CallNumber m_call;
+  CallOutcome m_outcome;
+  std::int64_t m_clock_ms;
+};
+
+/// @brief How a lease renewal ended: the worker's lists, or why there are none.
+class RenewalReplied : public Comparable<RenewalReplied> {
+ public:
+  RenewalReplied(WorkerId worker, FencingToken token, CallNumber call, CallOutcome outcome,
+                 std::optional<WorkerReport> report)
+      : m_worker(std::move(worker)),
+        m_token(token),
+        m_call(call),
+        m_outcome(outcome),
+        m_report(std::move(report)) {}
+  const WorkerId& worker() const { return m_worker; }
+  FencingToken token() const { return m_token; }
+  CallNumber call() const { return m_call; }
+  CallOutcome outcome() const { return m_outcome; }
+  /// @brief Set if the outcome is `kOk`.
+  const std::optional<WorkerReport>& report() const { return m_report; }
+  auto Fields() const { return std::tie(m_worker, m_token, m_call, m_outcome, m_report); }
+
+ private:
+  WorkerId m_worker;
+  FencingToken m_token;
+  CallNumber m_call;
+  CallOutcome m_outcome;
+  std::optional<WorkerReport> m_report;
+};
+
+/// @brief Time has passed.
+class OwnerTick : public Comparable<OwnerTick> {
+ public:
+  auto Fields() const { return std::tuple<>(); }
+};
+
+using OwnerEvent = std::variant<OwnWorkers, CoordinatorLost, PlaceRuns, CancelRuns, AdoptRun,
+                                StartReplied, RenewalReplied, OwnerTick>;
+
+/// @brief An event with the time at which it is handled.
+class OwnerInput : public Comparable<OwnerInput> {
+ public:
+  OwnerInput(Instant now, OwnerEvent event) : m_now(now), m_event(std::move(event)) {}
+  Instant now() const { return m_now; }
+  const OwnerEvent& event() const { return m_event; }
+  auto Fields() const { return std::tie(m_now, m_event); }
+
+ private:
+  Instant m_now;
+  OwnerEvent m_event;
+};
+
+/// @brief Which worker an order goes to, in which life of it, and by whose authority.
+class WorkerCall : public Comparable<WorkerCall> {
+ public:
+  WorkerCall(WorkerId worker, const Address& address, FencingToken token, CallNumber number,
+             std::int64_t lease_until_ms)
+      : m_worker(std::move(worker)),
+        m_address(address),
+        m_token(token),
+        m_number(number),
+        m_lease_until_ms(lease_until_ms) {}
+  const WorkerId& worker() const { return m_worker; }
+  const Address& address() const { return m_address; }
+  FencingToken token() const { return m_token; }
+  CallNumber number() const { return m_number; }
+  /// @brief Until when all runs there may go on, on the worker's clock; 0 to leave it as it is.
+  std::int64_t lease_until_ms() const { return m_lease_until_ms; }
+  auto Fields() const { return std::tie(m_worker, m_address, m_token, m_number, m_lease_until_ms); }
+
+ private:
+  WorkerId m_worker;
+  Address m_address;
+  FencingToken m_token;
+  CallNumber m_number;
+  std::int64_t m_lease_until_ms;
+};
+
+/// @brief Order a worker to start a run.
+class StartRun : public Comparable<StartRun> {
+ public:
+  StartRun(WorkerCall call, const RunKey& run, std::shared_ptr<const std::string> payload,
+           Duration timeout)
+      : m_call(std::move(call)), m_run(run), m_payload(std::move(payload)), m_timeout(timeout) {}
+  const WorkerCall& call() const { return m_call; }
+  const RunKey& run() const { return m_run; }
+  const std::shared_ptr<const std::string>& payload() const { return m_payload; }
+  Duration timeout() const { return m_timeout; }
+  auto Fields() const { return std::tie(m_call, m_run, *m_payload, m_timeout); }
+
+ private:
+  WorkerCall m_call;
+  RunKey m_run;
+  // invariant: not null
+  std::shared_ptr<const std::string> m_payload;
+  Duration m_timeout;
+};
+
+/// @brief Order a worker to stop a run; a later start of it is refused there.
+class StopRun : public Comparable<StopRun> {
+ public:
+  StopRun(WorkerCall call, const RunKey& run, Duration timeout)
+      : m_call(std::move(call)), m_run(run), m_timeout(timeout) {}
+  const WorkerCall& call() const { return m_call; }
+  const RunKey& run() const { return m_run; }
+  Duration timeout() const { return m_timeout; }
+  auto Fields() const { return std::tie(m_call, m_run, m_timeout); }
+
+ private:
+  WorkerCall m_call;
+  RunKey m_run;
+  Duration m_timeout;
+};
+
+/// @brief Renew a worker's lease, acknowledge its ends, and wait for the next one.
+class RenewLease : public Comparable<RenewLease> {
+ public:
+  RenewLease(WorkerCall call, std::uint64_t acknowledged, Duration wait, Duration timeout)
+      : m_call(std::move(call)), m_acknowledged(acknowledged), m_wait(wait), m_timeout(timeout) {}
+  const WorkerCall& call() const { return m_call; }
+  /// @brief Ends up to this number may be forgotten.
+  std::uint64_t acknowledged() const { return m_acknowledged; }
+  /// @brief How long the answer may wait for an end; 0 for an answer at once.
+  Duration wait() const { return m_wait; }
+  Duration timeout() const { return m_timeout; }
+  auto Fields() const { return std::tie(m_call, m_acknowledged, m_wait, m_timeout); }
+
+ private:
+  WorkerCall m_call;
+  std::uint64_t m_acknowledged;
+  Duration m_wait;
+  Duration m_timeout;
+};
+
+/// @brief News for a coordinator.
+class ReportRuns : public Comparable<ReportRuns> {
+ public:
+  ReportRuns(const NodeId& coordinator, std::vector<RunReport> reports)
+      : m_coordinator(coordinator), m_reports(std::move(reports)) {}
+  const NodeId& coordinator() const { return m_coordinator; }
+  const std::vector<RunReport>& reports() const { return m_reports; }
+  auto Fields() const { return std::tie(m_coordinator, m_reports); }
+
+ private:
+  NodeId m_coordinator;
+  std::vector<RunReport> m_reports;
+};
+
+using OwnerEffect = std::variant<StartRun, StopRun, RenewLease, ReportRuns, LogEvent>;
+using OwnerEffects = std::vector<OwnerEffect>;
+
+}  // namespace sapphireflow
+
+#endif  // SAPPHIREFLOW_OWNERSHIP_OWNERSHIP_EVENT_H_
--- /dev/null
+++ b/include/sapphireflow/routing/dispatch_event.h
@@ -0,0 +1,108 @@
+// Part of routing: what enters and leaves a dispatch node.
+#ifndef SAPPHIREFLOW_ROUTING_DISPATCH_EVENT_H_
+#define SAPPHIREFLOW_ROUTING_DISPATCH_EVENT_H_
+
+#include <memory>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "sapphireflow/dispatch/job_event.h"
+#include "sapphireflow/membership/member_table.h"
+#include "sapphireflow/ownership/ownership_event.h"
+
+namespace sapphireflow {
+
+/// @brief The directory's list of workers, read whole.
+class WorkersListed : public Comparable<WorkersListed> {
+ public:
+  explicit WorkersListed(WorkerListings workers) : m_workers(std::move(workers)) {}
+  const WorkerListings& workers() const { return m_workers; }
+  auto Fields() const { return std::tie(m_workers); }
+
+ private:
+  WorkerListings m_workers;
+};
+
+/// @brief The directory's list of members, read whole.
+class MembersListed : public Comparable<MembersListed> {
+ public:
+  explicit MembersListed(std::vector<MemberListing> members) : m_members(std::move(members)) {}
+  const std::vector<MemberListing>& members() const { return m_members; }
+  auto Fields() const { return std::tie(m_members); }
+
+ private:
+  std::vector<MemberListing> m_members;
+};
+
+/// @brief A link to a member was lost, with what was on its way.
+class LinkDown : public Comparable<LinkDown> {
+ public:
+  explicit LinkDown(const Address& peer) : m_peer(peer) {}
+  const Address& peer() const { return m_peer; }
+  auto Fields() const { return std::tie(m_peer); }
+
+ private:
+  Address m_peer;
+};
+
+/// @brief Time has passed.
+class DispatchTick : public Comparable<DispatchTick> {
+ public:
+  auto Fields() const { return std::tuple<>(); }
+};
+
+/// @brief A planned stop begins: workers go to other members, no new connections come.
+class StopPlanned : public Comparable<StopPlanned> {
+ public:
+  auto Fields() const { return std::tuple<>(); }
+};
+
+using DispatchEvent = std::variant<SubmitWork, CallerGone, AskWork, WorkersListed, MembersListed,
+                                   ConfigurationCopy, DispatchMessage, LinkDown, StartReplied,
+                                   RenewalReplied, DispatchTick, StopPlanned>;
+
+class DispatchInput : public Comparable<DispatchInput> {
+ public:
+  DispatchInput(Instant now, DispatchEvent event) : m_now(now), m_event(std::move(event)) {}
+  Instant now() const { return m_now; }
+  const DispatchEvent& event() const { return m_event; }
+  auto Fields() const { return std::tie(m_now, m_event); }
+
+ private:
+  Instant m_now;
+  DispatchEvent m_event;
+};
+
+/// @brief Send a message to another member.
+class SendMessage : public Comparable<SendMessage> {
+ public:
+  SendMessage(const Address& to, DispatchMessage message)
+      : m_to(to), m_message(std::move(message)) {}
+  const Address& to() const { return m_to; }
+  const DispatchMessage& message() const { return m_message; }
+  auto Fields() const { return std::tie(m_to, m_message); }
+
+ private:
+  Address m_to;
+  DispatchMessage m_message;
+};
+
+/// @brief Give up the link to a member and open a new one.
+class ResetLink : public Comparable<ResetLink> {
+ public:
+  explicit ResetLink(const Address& peer) : m_peer(peer) {}
+  const Address& peer() const { return m_peer; }
+  auto Fields() const { return std::tie(m_peer); }
+
+ private:
+  Address m_peer;
+};
+
+using DispatchEffect =
+    std::variant<StartRun, StopRun, RenewLease, SendMessage, ResetLink, AnswerWork, LogEvent>;
+using DispatchEffects = std::vector<DispatchEffect>;
+
+}  // namespace sapphireflow
+
+#endif  // SAPPHIREFLOW_ROUTING_DISPATCH_EVENT_H_
--- /dev/null
+++ b/include/sapphireflow/transport/directory_watch.h
@@ -0,0 +1,56 @@
+// Part of transport: keeps a node informed of what the platform's store holds.
+#ifndef SAPPHIREFLOW_TRANSPORT_DIRECTORY_WATCH_H_
+#define SAPPHIREFLOW_TRANSPORT_DIRECTORY_WATCH_H_
+
+#include <atomic>
+#include <mutex>
+
+#include "sapphireflow/membership/worker_directory.h"
+#include "sapphireflow/observe/event_log.h"
+#include "sapphireflow/pipeline/filter.h"
+#include "sapphireflow/routing/dispatch_event.h"
+#include "sapphireflow/transport/platform_ports.h"
+#include "sapphireflow/transport/timer_thread.h"
+
+namespace sapphireflow {
+
+/// @brief Watches configuration and members, reads workers at intervals, and keeps this process
+/// listed. What the store does not answer is asked again; the last state stays in force.
+class DirectoryWatch {
+ public:
+  /// All references outlive the watch.
+  DirectoryWatch(const MemberListing& self, PlatformStore& store, Sink<DispatchEvent>& events,
+                 const Clock& clock, TimerThread& timers, EventLog& log);
+  void Start();
+  /// @brief Takes this process off the list of members.
+  void Leave();
+
+ private:
+  void ReadConfiguration();
+  void WatchConfiguration(std::uint64_t after);
+  void ReadMembers();
+  void WatchMembers(std::uint64_t after);
+  void ReadWorkers();
+  void Register();
+  void KeepRegistered(std::uint64_t lease);
+  void After(Duration pause, TimerThread::Action action);
+  // logs when the store is lost and regained
+  void NoteStore(const Error* error);
+
+  const MemberListing m_self;
+  PlatformStore& m_store;
+  Sink<DispatchEvent>& m_events;
+  const Clock& m_clock;
+  TimerThread& m_timers;
+  EventLog& m_log;
+  std::atomic<bool> m_store_lost{false};
+  std::atomic<bool> m_leaving{false};
+  std::atomic<std::uint64_t> m_lease{0};
+  std::mutex m_mutex;
+  // guarded by m_mutex
+  WorkerDirectory m_workers;
+};
+
+}  // namespace sapphireflow
+
+#endif  // SAPPHIREFLOW_TRANSPORT_DIRECTORY_WATCH_H_
--- a/include/sapphireflow/transport/http.h
+++ b/include/sapphireflow/transport/http.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "sapphireflow/model/address.h"
 #include "sapphireflow/model/comparable.h"
@@ -13,16 +14,20 @@
 
 namespace sapphireflow {
 
+/// @brief Header fields by name, in order.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
 /// @brief A request as a server sees it.
 class HttpRequest : public Comparable<HttpRequest> {
  public:
   HttpRequest(std::string method, std::string path, std::string query, std::string authorization,
-              std::string body)
+              std::string body, HttpHeaders headers = {})
       : m_method(std::move(method)),
         m_path(std::move(path)),
         m_query(std::move(query)),
         m_authorization(std::move(authorization)),
-        m_body(std::move(body)) {}
+        m_body(std::move(body)),
+        m_headers(std::move(headers)) {}
   const std::string& method() const { return m_method; }
   const std::string& path() const { return m_path; }
   /// @brief Text behind the question mark, without it.
@@ -31,7 +36,11 @@
   const std::string& body() const { return m_body; }
   /// @brief Value of a query parameter, or empty. Complexity: linear in the query.
   std::string Parameter(const std::string& name) const;
-  auto Fields() const { return std::tie(m_method, m_path, m_query, m_authorization, m_body); }
+  /// @brief Value of a header field, or empty; case does not count. Complexity: linear.
+  std::string Header(const std::string& name) const;
+  auto Fields() const {
+    return std::tie(m_method, m_path, m_query, m_authorization, m_body, m_headers);
+  }
 
  private:
   std::string m_method;
@@ -39,21 +48,29 @@
   std::string m_query;
   std::string m_authorization;
   std::string m_body;
+  HttpHeaders m_headers;
 };
 
 class HttpResponse : public Comparable<HttpResponse> {
  public:
-  HttpResponse(int status, std::string body, std::string content_type = "application/json")
-      : m_status(status), m_body(std::move(body)), m_content_type(std::move(content_type)) {}
+  HttpResponse(int status, std::string body, std::string content_type = "application/json",
+               HttpHeaders headers = {})
+      : m_status(status),
+        m_body(std::move(body)),
+        m_content_type(std::move(content_type)),
+        m_headers(std::move(headers)) {}
   int status() const { return m_status; }
   const std::string& body() const { return m_body; }
   const std::string& content_type() const { return m_content_type; }
-  auto Fields() const { return std::tie(m_status, m_body, m_content_type); }
+  /// @brief Beside the usual ones.
+  const HttpHeaders& headers() const { return m_headers; }
+  auto Fields() const { return std::tie(m_status, m_body, m_content_type, m_headers); }
 
  private:
   int m_status;
   std::string m_body;
   std::string m_content_type;
+  HttpHeaders m_headers;
 };
 
 /// @brief Sends the one response to a request, from any thread, now or later.
@@ -63,6 +80,8 @@
   virtual void Respond(const HttpResponse& response) = 0;
   /// @brief Closes the connection without a response.
   virtual void Abort() = 0;
+  /// @brief Calls `action` if the caller closes the connection before the response.
+  virtual void OnClosed(std::function<void()> action) = 0;
 };
 
 /// @brief Handles requests; called from several threads at once.
@@ -76,13 +95,14 @@
 class HttpCall : public Comparable<HttpCall> {
  public:
   HttpCall(std::string method, const Address& to, std::string target, std::string authorization,
-           std::string body, Duration timeout)
+           std::string body, Duration timeout, HttpHeaders headers = {})
       : m_method(std::move(method)),
         m_to(to),
         m_target(std::move(target)),
         m_authorization(std::move(authorization)),
         m_body(std::move(body)),
-        m_timeout(timeout) {}
+        m_timeout(timeout),
+        m_headers(std::move(headers)) {}
   const std::string& method() const { return m_method; }
   const Address& to() const { return m_to; }
   /// @brief Path and query.
@@ -90,8 +110,10 @@
   const std::string& authorization() const { return m_authorization; }
   const std::string& body() const { return m_body; }
   Duration timeout() const { return m_timeout; }
+  /// @brief Beside the usual ones.
+  const HttpHeaders& headers() const { return m_headers; }
   auto Fields() const {
-    return std::tie(m_method, m_to, m_target, m_authorization, m_body, m_timeout);
+    return std::tie(m_method, m_to, m_target, m_authorization, m_body, m_timeout, m_headers);
   }
 
  private:
@@ -101,13 +123,15 @@
   std::string m_authorization;
   std::string m_body;
   Duration m_timeout;
+  HttpHeaders m_headers;
 };
 
 /// @brief How a call ended.
 enum class CallEnd {
-  kResponded,  ///< a whole response came
-  kNotSent,    ///< no connection could be made: the other side certainly saw nothing
-  kLost,       ///< the request was sent, at least in part, and no whole response came
+  kResponded,   ///< a whole response came
+  kNoListener,  ///< the address refused the connection: no process listens there
+  kNotSent,     ///< no connection could be made: the other side certainly saw nothing
+  kLost,        ///< the request was sent, at least in part, and no whole response came
 };
 
 class HttpResult : public Comparable<HttpResult> {
--- a/include/sapphireflow/transport/http_server.h
+++ b/include/sapphireflow/transport/http_server.h
@@ -21,6 +21,8 @@
 
   /// @return nothing once it listens, else why it cannot.
   std::optional<Error> Start();
+  /// @brief From now on each connection is closed after its next response.
+  void Retire();
   /// @brief Closes all connections and ends the threads.
   void Stop();
 
--- a/include/sapphireflow/transport/log4cplus_log.h
+++ b/include/sapphireflow/transport/log4cplus_log.h
@@ -9,7 +9,8 @@
 
 namespace sapphireflow {
 
-/// @brief Writes to a file, or to standard error if the file's name is empty.
+/// @brief Writes to a file, to standard error if its name is empty, to standard output if it is
+/// `-`.
 class Log4cplusLog : public EventLog {
  public:
   explicit Log4cplusLog(const std::string& file);
--- a/include/sapphireflow/transport/peer_links.h
+++ b/include/sapphireflow/transport/peer_links.h
@@ -34,6 +34,8 @@
   std::optional<Error> Start();
   /// @brief Sends, opening a link first if there is none. Never blocks.
   void Send(const Address& to, const std::string& bytes);
+  /// @brief Gives up the link to a peer; the next message opens a new one.
+  void Reset(const Address& to);
   void Stop();
 
  private:
--- a/include/sapphireflow/transport/pending_replies.h
+++ b/include/sapphireflow/transport/pending_replies.h
@@ -4,11 +4,13 @@
 
 #include <array>
 #include <atomic>
+#include <condition_variable>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
 
 #include "sapphireflow/model/ids.h"
+#include "sapphireflow/model/time.h"
 #include "sapphireflow/transport/http.h"
 
 namespace sapphireflow {
@@ -20,7 +22,11 @@
   RequestToken Add(std::shared_ptr<HttpResponder> responder);
   /// @brief Responds to the request, if it still waits.
   void Respond(RequestToken token, const HttpResponse& response);
+  /// @brief Drops a request whose caller has gone.
+  void Forget(RequestToken token);
   std::size_t size() const;
+  /// @brief Waits until no request is left, at most for `limit`. @return whether none is left.
+  bool WaitUntilEmpty(Duration limit);
 
  private:
   static constexpr std::size_t kShards = 16;
@@ -29,7 +35,11 @@
     // invariant: guarded by mutex
     std::unordered_map<RequestToken, std::shared_ptr<HttpResponder>> waiting;
   };
+  void OnRemoved();
+
   std::atomic<RequestToken> m_next{1};
+  std::mutex m_empty_mutex;
+  std::condition_variable m_empty;
   std::array<Part, kShards> m_parts;
 };
 
--- /dev/null
+++ b/src/codec/dispatch_codec.cc
@@ -0,0 +1,212 @@
+// Part of codec: each message is a CBOR list whose first element is the number of its kind, the
+// place of its type in `DispatchMessage`.
+#include "sapphireflow/codec/dispatch_codec.h"
+
+#include <exception>
+#include <iterator>
+#include <memory>
+#include <utility>
+
+#include "sapphireflow/codec/json_values.h"
+
+namespace sapphireflow {
+namespace {
+
+using detail::Json;
+using detail::ReadList;
+
+Json Write(Duration length) { return length.count(); }
+Duration ReadDuration(const Json& json) { return Duration(json.get<std::int64_t>()); }
+
+Json Write(const Resources& amount) {
+  return {amount.milli_cores(), amount.memory_mb(), amount.accelerators()};
+}
+Resources ReadResources(const Json& json) {
+  return {json.at(0).get<std::int64_t>(), json.at(1).get<std::int64_t>(),
+          json.at(2).get<std::int64_t>()};
+}
+
+Json Write(const RunKey& run) {
+  const TaskKey& task = run.task();
+  return {task.job(), task.occurrence(), task.step(), task.index(), run.number()};
+}
+RunKey ReadRun(const Json& json) {
+  return {TaskKey(json.at(0).get<JobKey>(), json.at(1).get<std::uint32_t>(),
+                  json.at(2).get<std::uint32_t>(), json.at(3).get<std::uint32_t>()),
+          json.at(4).get<std::uint32_t>()};
+}
+
+// declared ahead, so that the template finds them
+Json Write(const RunOrder& order);
+Json Write(const RunReport& report);
+Json Write(const WorkerRoom& room);
+Json Write(const RoomDigest& digest);
+Json Write(const QueueConfig& queue);
+Json Write(const ServiceConfig& service);
+
+template <class T>
+Json WriteAll(const std::vector<T>& values) {
+  Json json = Json::array();
+  for (const T& value : values) json.push_back(Write(value));
+  return json;
+}
+
+Json Write(const RunOrder& order) {
+  return {Write(order.run()), Write(order.needs()), Write(order.estimate()),
+          order.label(),      order.near_rack(),    order.per_worker_limit(),
+          order.avoid()};
+}
+RunOrder ReadOrder(const Json& json) {
+  return {ReadRun(json.at(0)),
+          ReadResources(json.at(1)),
+          ReadDuration(json.at(2)),
+          json.at(3).get<std::string>(),
+          json.at(4).get<std::string>(),
+          json.at(5).get<std::uint32_t>(),
+          json.at(6).get<std::vector<std::string>>()};
+}
+
+Json Write(const RunReport& report) {
+  return {Write(report.run()), static_cast<int>(report.news()), static_cast<int>(report.end()),
+          report.worker(), report.reason()};
+}
+RunReport ReadReport(const Json& json) {
+  return {ReadRun(json.at(0)), detail::ReadEnum(json.at(1), kLastRunNews),
+          detail::ReadEnum(json.at(2), kLastRunEnd), json.at(3).get<std::string>(),
+          json.at(4).get<std::string>()};
+}
+
+Json Write(const WorkerRoom& room) {
+  return {room.worker(), Write(room.room()), static_cast<float>(room.slowness())};
+}
+WorkerRoom ReadRoom(const Json& json) {
+  return {json.at(0).get<std::string>(), ReadResources(json.at(1)), json.at(2).get<double>()};
+}
+
+Json Write(const RoomDigest& digest) {
+  return {digest.service(), WriteAll(digest.rooms()), Write(digest.wait()), digest.milli_cores()};
+}
+RoomDigest ReadDigest(const Json& json) {
+  return {json.at(0).get<std::string>(), ReadList(json.at(1), ReadRoom), ReadDuration(json.at(2)),
+          json.at(3).get<std::int64_t>()};
+}
+
+Json Write(const QueueConfig& queue) {
+  return {queue.name(),    queue.host(),          queue.prefix(),
+          queue.service(), queue.priority(),      queue.max_attempts(),
+          queue.stretch(), Write(queue.target()), Write(queue.timeout())};
+}
+QueueConfig ReadQueue(const Json& json) {
+  return {json.at(0).get<std::string>(),   json.at(1).get<std::string>(),
+          json.at(2).get<std::string>(),   json.at(3).get<std::string>(),
+          json.at(4).get<std::uint32_t>(), json.at(5).get<std::uint32_t>(),
+          json.at(6).get<double>(),        ReadDuration(json.at(7)),
+          ReadDuration(json.at(8))};
+}
+
+Json Write(const ServiceConfig& service) { return service.name(); }
+ServiceConfig ReadService(const Json& json) { return ServiceConfig(json.get<std::string>()); }
+
+Json Body(const PlaceRuns& m) {
+  return {
+      detail::Write(m.coordinator()), m.service(),  *m.payload(),      Write(m.objective_left()),
+      Write(m.useful_left()),         m.priority(), WriteAll(m.runs())};
+}
+Json Body(const CancelRuns& m) {
+  return {detail::Write(m.coordinator()), m.service(), WriteAll(m.runs())};
+}
+Json Body(const AdoptRun& m) {
+  return {detail::Write(m.coordinator()),
+          m.service(),
+          m.worker(),
+          Write(m.run()),
+          Write(m.needs()),
+          Write(m.estimate())};
+}
+Json Body(const RunReports& m) {
+  return {detail::Write(m.owner()), WriteAll(m.reports()), WriteAll(m.digests())};
+}
+Json Body(const MemberBeat& m) {
+  return {detail::Write(m.from()),
+          m.zone(),
+          m.draining(),
+          m.sequence(),
+          m.echo(),
+          m.link_losses(),
+          m.configuration_version(),
+          m.token_floor(),
+          WriteAll(m.digests())};
+}
+Json Body(const ConfigurationRequest& m) { return Json::array({detail::Write(m.from())}); }
+Json Body(const ConfigurationCopy& m) {
+  const Configuration& c = *m.configuration();
+  return {c.version(), WriteAll(c.queues()), WriteAll(c.services()), c.max_body_bytes()};
+}
+
+DispatchMessage ReadPlace(const Json& j) {
+  return PlaceRuns(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
+                   std::make_shared<const std::string>(j.at(2).get<std::string>()),
+                   ReadDuration(j.at(3)), ReadDuration(j.at(4)), j.at(5).get<std::uint32_t>(),
+                   ReadList(j.at(6), ReadOrder));
+}
+DispatchMessage ReadCancel(const Json& j) {
+  return CancelRuns(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
+                    ReadList(j.at(2), ReadRun));
+}
+DispatchMessage ReadAdopt(const Json& j) {
+  return AdoptRun(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
+                  j.at(2).get<std::string>(), ReadRun(j.at(3)), ReadResources(j.at(4)),
+                  ReadDuration(j.at(5)));
+}
+DispatchMessage ReadReports(const Json& j) {
+  return RunReports(detail::ReadNodeId(j.at(0)), ReadList(j.at(1), ReadReport),
+                    ReadList(j.at(2), ReadDigest));
+}
+DispatchMessage ReadBeat(const Json& j) {
+  return MemberBeat(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(), j.at(2).get<bool>(),
+                    j.at(3).get<std::uint64_t>(), j.at(4).get<std::uint64_t>(),
+                    j.at(5).get<std::uint64_t>(), j.at(6).get<std::uint64_t>(),
+                    j.at(7).get<std::uint64_t>(), ReadList(j.at(8), ReadDigest));
+}
+DispatchMessage ReadConfigurationRequest(const Json& j) {
+  return ConfigurationRequest(detail::ReadNodeId(j.at(0)));
+}
+DispatchMessage ReadConfiguration(const Json& j) {
+  return ConfigurationCopy(std::make_shared<const Configuration>(
+      j.at(0).get<std::uint64_t>(), ReadList(j.at(1), ReadQueue), ReadList(j.at(2), ReadService),
+      j.at(3).get<std::size_t>()));
+}
+
+using Reader = DispatchMessage (*)(const Json&);
+// in the order of the types in `DispatchMessage`
+constexpr Reader kReaders[] = {ReadPlace,        ReadCancel, ReadAdopt,
+                               ReadReports,      ReadBeat,   ReadConfigurationRequest,
+                               ReadConfiguration};
+static_assert(std::size(kReaders) == std::variant_size_v<DispatchMessage>);
+
+}  // namespace
+
+std::string EncodeDispatchMessage(const DispatchMessage& message) {
+  Json list = Json::array();
+  list.push_back(message.index());
+  list.push_back(std::visit([](const auto& m) { return Body(m); }, message));
+  std::string bytes;
+  Json::to_cbor(list, bytes);
+  return bytes;
+}
+
+Result<DispatchMessage> DecodeDispatchMessage(const std::string& bytes) {
+  try {
+    const Json list = Json::from_cbor(bytes);
+    const auto kind = list.at(0).get<std::size_t>();
+    if (kind >= std::size(kReaders)) {
+      return Error(ErrorId::kMalformedMessage,
+                   "message kind " + std::to_string(kind) + " is unknown");
+    }
+    return kReaders[kind](list.at(1));
+  } catch (const std::exception& problem) {
+    return Error(ErrorId::kMalformedMessage, problem.what());
+  }
+}
+
+}  // namespace sapphireflow
--- /dev/null
+++ b/src/dispatch/job_shard.cc
@@ -0,0 +1,501 @@
+// Part of dispatch: coordinating jobs.
+#include "sapphireflow/dispatch/job_shard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphireflow {
+namespace {
+
+// answers are kept so long for copies of a submission that arrive late
+constexpr Duration kKeepFinished = std::chrono::seconds(10);
+constexpr std::size_t kMaxFinished = 5000;
+// how often a new owner is asked to adopt a run
+constexpr Duration kAskAgain = std::chrono::milliseconds(100);
+// declines in a row after which a task waits for the next tick
+constexpr std::uint32_t kPromptDeclines = 3;
+// runs of a task that ended for no fault of its own, after which the job is given up
+constexpr std::uint32_t kMaxRuns = 12;
+// what a refused caller is told if nothing better is known
+constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
+// share of a caller's patience that may be spent waiting for room
+constexpr double kLongestWaitShare = 0.7;
+
+std::string JobText(JobKey key) {
+  static const char* const kDigits = "0123456789abcdef";
+  std::string text(16, '0');
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    text[text.size() - 1 - i] = kDigits[(key >> (4 * i)) & 0xf];
+  }
+  return text;
+}
+
+}  // namespace
+
+const char* WorkVerdictWord(WorkVerdict verdict) {
+  switch (verdict) {
+    case WorkVerdict::kCompleted:
+      return "completed";
+    case WorkVerdict::kFailed:
+      return "failed";
+    case WorkVerdict::kRefused:
+      return "refused";
+    case WorkVerdict::kExpired:
+      return "expired";
+    case WorkVerdict::kPending:
+      return "pending";
+    case WorkVerdict::kRunning:
+      return "running";
+    case WorkVerdict::kCancelled:
+      return "cancelled";
+    case WorkVerdict::kNoSuchJob:
+      return "no_such_job";
+    case WorkVerdict::kCount:
+      return "count";
+  }
+  return "?";
+}
+
+JobShard::JobShard(const NodeId& self, Duration lapse_time, RoomBoard& rooms,
+                   const OwnerLookup& owners)
+    : m_self(self), m_lapse_time(lapse_time), m_rooms(rooms), m_owners(owners) {}
+
+JobEffects JobShard::Apply(const JobInput& in) {
+  JobEffects out;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  std::visit([&](const auto& event) { On(event, in.now(), out); }, in.event());
+  return out;
+}
+
+std::size_t JobShard::OpenJobs() const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return static_cast<std::size_t>(std::count_if(
+      m_jobs.begin(), m_jobs.end(), [](const auto& item) { return !item.second.callers.empty(); }));
+}
+
+std::size_t JobShard::WaitingJobs(const std::string& queue) const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return static_cast<std::size_t>(
+      std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto& item) {
+        const Job& job = item.second;
+        return job.order->queue() == queue && !job.closing && !job.may_have_run;
+      }));
+}
+
+void JobShard::Answer(RequestToken token, WorkVerdict verdict, JobEffects& out) const {
+  out.emplace_back(AnswerWork(token, verdict, std::nullopt, Duration::zero(), 0));
+}
+
+void JobShard::On(const SubmitWork& event, Instant now, JobEffects& out) {
+  const JobKey key = event.order()->key();
+  const auto finished = m_finished.find(key);
+  if (finished != m_finished.end()) {
+    Answer(event.token(), finished->second.verdict, out);
+    return;
+  }
+  const auto known = m_jobs.find(key);
+  if (known == m_jobs.end()) {
+    Admit(event, now, out);
+  } else if (known->second.closing) {
+    if (known->second.successor) {
+      Answer(known->second.successor->token(), WorkVerdict::kExpired, out);
+    }
+    known->second.successor = event;
+  } else {
+    known->second.callers.push_back(event.token());
+    m_callers[event.token()] = key;
+  }
+}
+
+std::optional<Error> JobShard::Objection(const JobOrder& order, Duration* retry_after) const {
+  *retry_after = kDefaultRetryAfter;
+  for (const StepSpec& step : order.steps()) {
+    if (!m_rooms.CouldEverRun(order.service(), step.needs(), step.label())) {
+      return Error(ErrorId::kNoWorkerFits, "no listed worker of service \"" + order.service() +
+                                               "\" is large enough for a task of the job");
+    }
+  }
+  const auto wait = m_rooms.ShortestWait(order.service(), order.steps().front().needs());
+  if (!wait) {
+    return Error(ErrorId::kNoWorkerFits,
+                 "no worker of service \"" + order.service() + "\" is reachable");
+  }
+  if (ToMillis(*wait) > ToMillis(order.patience()) * kLongestWaitShare) {
+    *retry_after = *wait;
+    return Error(ErrorId::kCannotFinishInTime,
+                 "the wait for a free worker is " + std::to_string(ToMillis(*wait)) + " ms");
+  }
+  return std::nullopt;
+}
+
+void JobShard::Admit(const SubmitWork& event, Instant now, JobEffects& out) {
+  Duration retry_after{};
+  if (const auto error = Objection(*event.order(), &retry_after)) {
+    out.emplace_back(AnswerWork(event.token(), WorkVerdict::kRefused, error, retry_after, 0));
+    out.emplace_back(LogEvent(LogLevel::kWarning, "job_refused",
+                              {{"job", JobText(event.order()->key())},
+                               {"error", error->code()},
+                               {"why", error->message()}}));
+    return;
+  }
+  Job& job = m_jobs[event.order()->key()];
+  job.order = event.order();
+  job.callers = {event.token()};
+  job.received_at = now;
+  for (const StepSpec& step : job.order->steps()) job.tasks.emplace_back(step.count());
+  m_callers[event.token()] = event.order()->key();
+  UnblockSteps(job);
+  PlaceReady(job, now, out);
+}
+
+void JobShard::UnblockSteps(Job& job) const {
+  const auto done = [&job](std::uint32_t step) {
+    return std::all_of(job.tasks[step].begin(), job.tasks[step].end(),
+                       [](const Task& task) { return task.phase == TaskPhase::kDone; });
+  };
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    const auto& after = job.order->steps()[i].after();
+    if (!std::all_of(after.begin(), after.end(), done)) continue;
+    for (Task& task : job.tasks[i]) {
+      if (task.phase == TaskPhase::kBlocked) task.phase = TaskPhase::kReady;
+    }
+  }
+}
+
+void JobShard::PlaceReady(Job& job, Instant now, JobEffects& out) {
+  if (job.closing) return;
+  const JobOrder& order = *job.order;
+  Batches batches;
+  for (std::uint32_t s = 0; s < job.tasks.size(); ++s) {
+    const StepSpec& step = order.steps()[s];
+    for (std::uint32_t i = 0; i < job.tasks[s].size(); ++i) {
+      Task& task = job.tasks[s][i];
+      if (task.phase != TaskPhase::kReady) continue;
+      const RunKey run(TaskKey(order.key(), 0, s, i), task.run_number + 1);
+      const RunOrder run_order(run, step.needs(), step.estimate(), step.label(), step.near_rack(),
+                               step.per_worker_limit(), task.avoid);
+      const auto offer = m_rooms.Book(order.service(), run_order);
+      if (!offer) return;
+      task.phase = TaskPhase::kPlaced;
+      task.run_number = run.number();
+      task.owner = offer->owner();
+      task.worker.clear();
+      batches[offer->owner()].push_back(run_order);
+    }
+  }
+  const Duration elapsed = now - job.received_at;
+  for (auto& [owner, runs] : batches) {
+    out.emplace_back(TellOwner(
+        owner, PlaceRuns(m_self, order.service(), order.payload(), order.objective() - elapsed,
+                         order.patience() - elapsed, order.priority(), std::move(runs))));
+  }
+}
+
+void JobShard::On(const CallerGone& event, Instant now, JobEffects& out) {
+  const auto found = m_callers.find(event.token());
+  if (found == m_callers.end()) return;
+  const JobKey key = found->second;
+  m_callers.erase(found);
+  const auto item = m_jobs.find(key);
+  if (item == m_jobs.end()) return;
+  Job& job = item->second;
+  auto& callers = job.callers;
+  callers.erase(std::remove(callers.begin(), callers.end(), event.token()), callers.end());
+  if (!callers.empty() || job.closing) return;
+  out.emplace_back(LogEvent(
+      LogLevel::kInfo, "caller_gone",
+      {{"job", JobText(key)}, {"after_ms", std::to_string(ToMillis(now - job.received_at))}}));
+  job.closing = true;
+  job.closed_at = now;
+  CancelPlaced(job, out);
+  Settle(key, now, out);
+}
+
+void JobShard::On(const AskWork& event, Instant now, JobEffects& out) {
+  const auto finished = m_finished.find(event.job());
+  if (finished != m_finished.end()) {
+    Answer(event.token(), finished->second.verdict, out);
+    return;
+  }
+  const auto found = m_jobs.find(event.job());
+  if (found == m_jobs.end() || found->second.closing) {
+    Answer(event.token(), WorkVerdict::kNoSuchJob, out);
+    return;
+  }
+  Job& job = found->second;
+  if (event.question() == WorkQuestion::kState) {
+    Answer(event.token(), job.may_have_run ? WorkVerdict::kRunning : WorkVerdict::kPending, out);
+    return;
+  }
+  Close(job, WorkVerdict::kCancelled, std::nullopt, now, out);
+  Answer(event.token(), WorkVerdict::kCancelled, out);
+  Settle(event.job(), now, out);
+}
+
+void JobShard::On(const RunReports& event, Instant now, JobEffects& out) {
+  for (const RunReport& report : event.reports()) TakeReport(event.owner(), report, now, out);
+}
+
+void JobShard::TakeReport(const NodeId& owner, const RunReport& report, Instant now,
+                          JobEffects& out) {
+  const TaskKey& key = report.run().task();
+  const auto found = m_jobs.find(key.job());
+  const bool known = found != m_jobs.end() && key.step() < found->second.tasks.size() &&
+                     key.index() < found->second.tasks[key.step()].size();
+  Task* task = known ? &found->second.tasks[key.step()][key.index()] : nullptr;
+  const bool current = known && task->run_number == report.run().number() && task->owner == owner &&
+                       task->phase != TaskPhase::kDone;
+  if (!current) {
+    // a start that nobody waits for
+    if (report.news() == RunNews::kStarted && !known) {
+      out.emplace_back(TellOwner(owner, CancelRuns(m_self, "", {report.run()})));
+    }
+    return;
+  }
+  Job& job = found->second;
+  switch (report.news()) {
+    case RunNews::kStarted:
+      job.may_have_run = true;
+      task->phase = TaskPhase::kPlaced;
+      task->worker = report.worker();
+      task->declines = 0;
+      return;
+    case RunNews::kReleased:
+      task->worker = report.worker();
+      if (task->phase != TaskPhase::kOrphaned) task->orphaned_at = now;
+      task->phase = TaskPhase::kOrphaned;
+      task->ask_at = now;
+      job.may_have_run = true;
+      return;
+    case RunNews::kEnded:
+      OnEnded(job, *task, report, now, out);
+      break;
+    case RunNews::kDeclined:
+      OnDeclined(job, *task, report, now, out);
+      break;
+  }
+  Settle(key.job(), now, out);
+}
+
+void JobShard::OnEnded(Job& job, Task& task, const RunReport& report, Instant now,
+                       JobEffects& out) {
+  job.may_have_run = true;
+  if (report.end() == RunEnd::kDone) {
+    task.phase = TaskPhase::kDone;
+    UnblockSteps(job);
+    const bool all_done =
+        std::all_of(job.tasks.begin(), job.tasks.end(), [](const std::vector<Task>& step) {
+          return std::all_of(step.begin(), step.end(),
+                             [](const Task& other) { return other.phase == TaskPhase::kDone; });
+        });
+    if (all_done && !job.closing) {
+      Close(job, WorkVerdict::kCompleted, std::nullopt, now, out);
+    } else {
+      PlaceReady(job, now, out);
+    }
+    return;
+  }
+  task.phase = TaskPhase::kReady;
+  task.avoid.push_back(report.worker());
+  if (report.end() == RunEnd::kFailed) ++task.failures;
+  if (job.closing) return;
+  out.emplace_back(LogEvent(LogLevel::kWarning, "run_ended",
+                            {{"job", JobText(report.run().task().job())},
+                             {"step", std::to_string(report.run().task().step())},
+                             {"task", std::to_string(report.run().task().index())},
+                             {"run", std::to_string(report.run().number())},
+                             {"worker", report.worker()},
+                             {"end", RunEndWord(report.end())},
+                             {"why", report.reason()},
+                             {"failures", std::to_string(task.failures)}}));
+  if (task.failures >= job.order->max_attempts()) {
+    Close(job, WorkVerdict::kFailed,
+          Error(ErrorId::kTaskFailed, "task " + std::to_string(report.run().task().index()) +
+                                          " of step " + std::to_string(report.run().task().step()) +
+                                          " failed " + std::to_string(task.failures) + " times"),
+          now, out);
+    return;
+  }
+  if (task.run_number >= kMaxRuns) {
+    Close(job, WorkVerdict::kExpired,
+          Error(ErrorId::kTaskFailed,
+                "a task was lost " + std::to_string(task.run_number) + " times"),
+          now, out);
+    return;
+  }
+  PlaceReady(job, now, out);
+}
+
+void JobShard::OnDeclined(Job& job, Task& task, const RunReport& report, Instant now,
+                          JobEffects& out) {
+  task.phase = TaskPhase::kReady;
+  ++task.declines;
+  if (!report.worker().empty()) task.avoid.push_back(report.worker());
+  if (job.closing) return;
+  if (report.reason() == "too_late") {
+    const Error cause(ErrorId::kDeadlinePassed, "no worker became free in time");
+    Close(job, WorkVerdict::kExpired, cause, now, out);
+    return;
+  }
+  if (task.declines <= kPromptDeclines) PlaceReady(job, now, out);
+}
+
+void JobShard::On(const OwnerLost& event, Instant now, JobEffects& out) {
+  std::vector<JobKey> keys;
+  for (auto& [key, job] : m_jobs) {
+    bool hit = false;
+    for (auto& step : job.tasks) {
+      for (Task& task : step) {
+        if (task.owner != event.owner()) continue;
+        if (task.phase != TaskPhase::kPlaced && task.phase != TaskPhase::kOrphaned) continue;
+        if (task.phase == TaskPhase::kPlaced) task.orphaned_at = now;
+        task.phase = TaskPhase::kOrphaned;
+        task.ask_at = now;
+        job.may_have_run = true;
+        hit = true;
+      }
+    }
+    if (hit) keys.push_back(key);
+  }
+  for (const JobKey key : keys) CareForOrphans(m_jobs.at(key), now, out);
+}
+
+void JobShard::On(const OwnerLinkLost& event, Instant now, JobEffects& out) {
+  std::map<std::string, std::vector<RunKey>> unheard;
+  std::vector<JobKey> keys;
+  for (auto& [key, job] : m_jobs) {
+    bool hit = false;
+    for (std::uint32_t s = 0; s < job.tasks.size(); ++s) {
+      for (std::uint32_t i = 0; i < job.tasks[s].size(); ++i) {
+        Task& task = job.tasks[s][i];
+        if (task.owner != event.owner() || task.phase != TaskPhase::kPlaced) continue;
+        if (task.worker.empty()) {
+          // the order may be lost or its news may be: a cancel settles it either way
+          unheard[job.order->service()].emplace_back(TaskKey(key, 0, s, i), task.run_number);
+          continue;
+        }
+        task.phase = TaskPhase::kOrphaned;
+        task.orphaned_at = now;
+        task.ask_at = now;
+        hit = true;
+      }
+    }
+    if (hit) keys.push_back(key);
+  }
+  for (auto& [service, runs] : unheard) {
+    out.emplace_back(TellOwner(event.owner(), CancelRuns(m_self, service, std::move(runs))));
+  }
+  for (const JobKey key : keys) CareForOrphans(m_jobs.at(key), now, out);
+}
+
+void JobShard::CareForOrphans(Job& job, Instant now, JobEffects& out) {
+  const JobOrder& order = *job.order;
+  for (std::uint32_t s = 0; s < job.tasks.size(); ++s) {
+    const StepSpec& step = order.steps()[s];
+    for (std::uint32_t i = 0; i < job.tasks[s].size(); ++i) {
+      Task& task = job.tasks[s][i];
+      if (task.phase != TaskPhase::kOrphaned) continue;
+      if (now - task.orphaned_at >= m_lapse_time) {
+        out.emplace_back(LogEvent(LogLevel::kWarning, "run_lapsed",
+                                  {{"job", JobText(order.key())},
+                                   {"task", std::to_string(i)},
+                                   {"run", std::to_string(task.run_number)},
+                                   {"owner", task.owner.text()},
+                                   {"worker", task.worker}}));
+        task.phase = TaskPhase::kReady;
+        if (!task.worker.empty()) task.avoid.push_back(task.worker);
+        continue;
+      }
+      if (job.closing || task.worker.empty() || now < task.ask_at) continue;
+      task.ask_at = now + kAskAgain;
+      const auto owner = m_owners.OwnerOf(task.worker);
+      if (!owner) continue;
+      task.owner = *owner;
+      out.emplace_back(
+          TellOwner(*owner, AdoptRun(m_self, order.service(), task.worker,
+                                     RunKey(TaskKey(order.key(), 0, s, i), task.run_number),
+                                     step.needs(), step.estimate())));
+    }
+  }
+  PlaceReady(job, now, out);
+}
+
+void JobShard::On(const JobTick& /*event*/, Instant now, JobEffects& out) {
+  std::vector<JobKey> keys;
+  keys.reserve(m_jobs.size());
+  for (const auto& [key, job] : m_jobs) keys.push_back(key);
+  for (const JobKey key : keys) {
+    Job& job = m_jobs.at(key);
+    if (!job.closing && now - job.received_at >= job.order->patience()) {
+      Close(job, WorkVerdict::kExpired,
+            Error(ErrorId::kDeadlinePassed, "the caller's time has passed"), now, out);
+    }
+    CareForOrphans(job, now, out);
+    Settle(key, now, out);
+  }
+  while (!m_finished_order.empty() && (now - m_finished_order.front().first > kKeepFinished ||
+                                       m_finished_order.size() > kMaxFinished)) {
+    m_finished.erase(m_finished_order.front().second);
+    m_finished_order.pop_front();
+  }
+}
+
+void JobShard::Close(Job& job, WorkVerdict verdict, std::optional<Error> cause, Instant now,
+                     JobEffects& out) {
+  // nothing was ever sent to a worker that could still start: the work certainly did not run
+  const JobKey key = job.order->key();
+  for (const RequestToken token : job.callers) {
+    out.emplace_back(AnswerWork(token, verdict, cause, kDefaultRetryAfter, 0));
+    m_callers.erase(token);
+  }
+  job.callers.clear();
+  job.closing = true;
+  job.closed_at = now;
+  CancelPlaced(job, out);
+  if (verdict == WorkVerdict::kCompleted || verdict == WorkVerdict::kFailed) {
+    if (m_finished.emplace(key, Finished{verdict, now}).second) {
+      m_finished_order.emplace_back(now, key);
+    }
+  }
+  LogEvent::Pairs pairs = {{"job", JobText(key)},
+                           {"queue", job.order->queue()},
+                           {"verdict", WorkVerdictWord(verdict)},
+                           {"ms", std::to_string(ToMillis(now - job.received_at))},
+                           {"objective_ms", std::to_string(ToMillis(job.order->objective()))}};
+  if (cause) pairs.emplace_back("why", cause->message());
+  out.emplace_back(
+      LogEvent(verdict == WorkVerdict::kCompleted ? LogLevel::kInfo : LogLevel::kWarning,
+               "job_answered", std::move(pairs)));
+}
+
+void JobShard::CancelPlaced(const Job& job, JobEffects& out) const {
+  std::map<NodeId, std::vector<RunKey>> runs;
+  for (std::uint32_t s = 0; s < job.tasks.size(); ++s) {
+    for (std::uint32_t i = 0; i < job.tasks[s].size(); ++i) {
+      const Task& task = job.tasks[s][i];
+      if (task.phase != TaskPhase::kPlaced) continue;
+      runs[task.owner].emplace_back(TaskKey(job.order->key(), 0, s, i), task.run_number);
+    }
+  }
+  for (auto& [owner, keys] : runs) {
+    out.emplace_back(TellOwner(owner, CancelRuns(m_self, job.order->service(), std::move(keys))));
+  }
+}
+
+bool JobShard::HasRunsLeft(const Job& job, Instant /*now*/) {
+  return std::any_of(job.tasks.begin(), job.tasks.end(), [](const std::vector<Task>& step) {
+    return std::any_of(step.begin(), step.end(), [](const Task& task) {
+      return task.phase == TaskPhase::kPlaced || task.phase == TaskPhase::kOrphaned;
+    });
+  });
+}
+
+void JobShard::Settle(JobKey key, Instant now, JobEffects& out) {
+  const auto found = m_jobs.find(key);
+  if (found == m_jobs.end() || !found->second.closing || HasRunsLeft(found->second, now)) return;
+  const std::optional<SubmitWork> successor = std::move(found->second.successor);
+  m_jobs.erase(found);
+  if (successor) Admit(*successor, now, out);
+}
+
+}  // namespace sapphireflow
--- a/src/membership/home_choice.cc
+++ b/src/membership/home_choice.cc
@@ -16,8 +16,19 @@
   return value ^ (value >> 31);
 }
 
+std::uint64_t PairHash(const Address& subject, const Address& candidate) {
+  return Scramble(Scramble(subject.number()) + 0x9e3779b97f4a7c15ULL * candidate.number());
+}
+
 }  // namespace
 
+Address ChooseHome(const Address& subject, const std::vector<Address>& candidates) {
+  return *std::max_element(candidates.begin(), candidates.end(),
+                           [&](const Address& a, const Address& b) {
+                             return PairHash(subject, a) < PairHash(subject, b);
+                           });
+}
+
 std::map<Address, Address> ChooseHomes(const Sizes& subjects,
                                        const std::vector<Address>& candidates) {
   std::map<Address, Address> homes;
@@ -32,8 +43,7 @@
     std::optional<Address> best;
     std::uint64_t best_hash = 0;
     for (const Address& candidate : candidates) {
-      const std::uint64_t hash =
-          Scramble(Scramble(subject.number()) + 0x9e3779b97f4a7c15ULL * candidate.number());
+      const std::uint64_t hash = PairHash(subject, candidate);
       if (loads[candidate] >= share || (best && hash <= best_hash)) continue;
       best = candidate;
       best_hash = hash;
--- /dev/null
+++ b/src/membership/member_table.cc
@@ -0,0 +1,200 @@
+// Part of membership: members in touch and owners of workers.
+#include "sapphireflow/membership/member_table.h"
+
+#include <algorithm>
+
+#include "sapphireflow/membership/home_choice.h"
+
+namespace sapphireflow {
+namespace {
+
+constexpr Duration kBeatInterval = std::chrono::milliseconds(150);
+// members out of touch are called on less often
+constexpr Duration kSilentBeatInterval = std::chrono::milliseconds(500);
+// four beats; shorter than a lease of one second, so that a new owner comes before runs lapse
+constexpr Duration kSilence = std::chrono::milliseconds(600);
+// a new member is counted in for so long before its first beat: processes start within a second
+constexpr Duration kFirstTrust = std::chrono::milliseconds(1500);
+constexpr Duration kResetLinkAfter = std::chrono::milliseconds(450);
+// one that is neither listed nor heard is forgotten
+constexpr Duration kForgetAfter = std::chrono::seconds(15);
+
+}  // namespace
+
+MemberTable::MemberTable(const NodeId& self, std::string zone)
+    : m_self(self), m_zone(std::move(zone)) {}
+
+MemberChanges MemberTable::OnListed(const std::vector<MemberListing>& members, Instant now) {
+  MemberChanges changes;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (auto& [address, member] : m_members) member.listed = false;
+  for (const MemberListing& listing : members) {
+    if (listing.node().address() == m_self.address()) continue;
+    const auto [place, is_new] = m_members.try_emplace(listing.node().address());
+    Member& member = place->second;
+    member.listed = true;
+    if (!is_new) continue;
+    member.node = listing.node();
+    member.zone = listing.zone();
+    member.in_touch = true;
+    member.trusted_until = now + kFirstTrust;
+    member.echoed_at = now;
+    changes.emplace_back(MemberChange::Kind::kJoined, member.node, "listed");
+  }
+  return changes;
+}
+
+MemberChanges MemberTable::OnBeat(const MemberBeat& beat, Instant now) {
+  MemberChanges changes;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const auto [place, is_new] = m_members.try_emplace(beat.from().address());
+  Member& member = place->second;
+  if (!is_new && member.node != beat.from()) {
+    // another process at the same address
+    if (beat.from().incarnation() < member.node.incarnation() && member.heard_sequence > 0 &&
+        now - member.heard_at < kSilence) {
+      return changes;
+    }
+    if (member.heard_sequence > 0) {
+      changes.emplace_back(MemberChange::Kind::kLost, member.node, "restarted");
+    }
+    const bool listed = member.listed;
+    member = Member();
+    member.listed = listed;
+  }
+  const bool joined = !member.in_touch;
+  const bool first = member.heard_sequence == 0;
+  member.node = beat.from();
+  member.zone = beat.zone();
+  member.in_touch = true;
+  if (first) {
+    member.its_link_losses = beat.link_losses();
+    member.echoed_at = now;
+  }
+  member.heard_at = now;
+  member.heard_sequence = std::max(member.heard_sequence, beat.sequence());
+  if (beat.echo() > member.echoed) {
+    member.echoed = beat.echo();
+    member.echoed_at = now;
+  }
+  if (joined || is_new) changes.emplace_back(MemberChange::Kind::kJoined, member.node, "heard");
+  if (beat.draining() && !member.draining) {
+    member.draining = true;
+    changes.emplace_back(MemberChange::Kind::kDraining, member.node, "draining");
+  }
+  if (beat.link_losses() > member.its_link_losses) {
+    member.its_link_losses = beat.link_losses();
+    changes.emplace_back(MemberChange::Kind::kLinkLost, member.node, "its_link");
+  }
+  return changes;
+}
+
+MemberChanges MemberTable::OnLinkDown(const Address& peer, Instant now) {
+  MemberChanges changes;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_members.find(peer);
+  if (found == m_members.end()) return changes;
+  Member& member = found->second;
+  ++member.own_link_losses;
+  // calls at once, so that a process that has ended shows
+  member.next_beat = std::min(member.next_beat, now + kBeatInterval / 3);
+  if (member.in_touch && member.heard_sequence > 0) {
+    changes.emplace_back(MemberChange::Kind::kLinkLost, member.node, "own_link");
+  }
+  return changes;
+}
+
+void MemberTable::Lose(Member& member, const std::string& why, MemberChanges& changes) const {
+  member.in_touch = false;
+  changes.emplace_back(MemberChange::Kind::kLost, member.node, why);
+}
+
+MemberChanges MemberTable::OnTick(Instant now) {
+  MemberChanges changes;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (auto item = m_members.begin(); item != m_members.end();) {
+    Member& member = item->second;
+    if (member.in_touch) {
+      const bool heard = member.heard_sequence > 0;
+      if (heard && now - member.heard_at > kSilence) Lose(member, "silent", changes);
+      if (!heard && now > member.trusted_until) Lose(member, "never_heard", changes);
+    } else if (!member.listed && now - member.heard_at > kForgetAfter) {
+      item = m_members.erase(item);
+      continue;
+    }
+    ++item;
+  }
+  return changes;
+}
+
+void MemberTable::SetDraining() {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_draining = true;
+  for (auto& [address, member] : m_members) member.next_beat = Instant{};
+}
+
+void MemberTable::SetWorkers(const WorkerListings& workers) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_workers.clear();
+  for (const WorkerListing& worker : workers) m_workers.emplace(worker.id(), worker);
+}
+
+std::vector<BeatAddress> MemberTable::DueBeats(Instant now) {
+  std::vector<BeatAddress> beats;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (auto& [address, member] : m_members) {
+    if (now < member.next_beat) continue;
+    member.next_beat = now + (member.in_touch ? kBeatInterval : kSilentBeatInterval);
+    const bool deaf = member.in_touch && member.heard_sequence > 0 &&
+                      now - member.echoed_at > kResetLinkAfter &&
+                      now - member.link_reset_at > kResetLinkAfter;
+    if (deaf) member.link_reset_at = now;
+    beats.emplace_back(address, ++member.sent_sequence, member.heard_sequence,
+                       member.own_link_losses, deaf);
+  }
+  return beats;
+}
+
+std::optional<NodeId> MemberTable::OwnerOfLocked(const WorkerListing& worker) const {
+  std::vector<Address> in_zone;
+  std::vector<Address> everywhere;
+  const auto consider = [&](const Address& address, const std::string& zone) {
+    everywhere.push_back(address);
+    if (zone == worker.zone()) in_zone.push_back(address);
+  };
+  if (!m_draining) consider(m_self.address(), m_zone);
+  for (const auto& [address, member] : m_members) {
+    if (member.in_touch && !member.draining) consider(address, member.zone);
+  }
+  const auto& candidates = in_zone.empty() ? everywhere : in_zone;
+  if (candidates.empty()) return std::nullopt;
+  const Address home = ChooseHome(worker.address(), candidates);
+  return home == m_self.address() ? m_self : m_members.at(home).node;
+}
+
+WorkerListings MemberTable::OwnWorkers() const {
+  WorkerListings own;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [id, worker] : m_workers) {
+    if (OwnerOfLocked(worker) == m_self) own.push_back(worker);
+  }
+  return own;
+}
+
+std::optional<NodeId> MemberTable::OwnerOf(const WorkerId& worker) const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_workers.find(worker);
+  if (found == m_workers.end()) return std::nullopt;
+  return OwnerOfLocked(found->second);
+}
+
+std::vector<NodeId> MemberTable::InTouch() const {
+  std::vector<NodeId> nodes;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [address, member] : m_members) {
+    if (member.in_touch) nodes.push_back(member.node);
+  }
+  return nodes;
+}
+
+}  // namespace sapphireflow
--- /dev/null
+++ b/src/ownership/owner_shard.cc
@@ -0,0 +1,340 @@
+// Part of ownership: starting runs on owned workers.
+#include "sapphireflow/ownership/owner_shard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphireflow {
+namespace {
+
+// a run that waits longer goes back to its coordinator if another owner has room
+constexpr Duration kMoveAfter = std::chrono::milliseconds(25);
+// a refused owner stays away for so long, doubling with each refusal in a row
+constexpr Duration kFirstRefusalPause = std::chrono::milliseconds(600);
+constexpr std::uint32_t kMaxRefusalDoublings = 4;
+constexpr std::uint32_t kUnlimitedSlots = 1000;
+
+std::string MillisText(Duration length) {
+  return std::to_string(static_cast<std::int64_t>(ToMillis(length)));
+}
+
+}  // namespace
+
+OwnerShard::OwnerShard(const NodeId& self, const LeaseLimits& limits, OwnerPolicies policies,
+                       FencingTokens& tokens, std::atomic<CallNumber>& next_call,
+                       const RoomBoard& peers)
+    : m_self(self),
+      m_limits(limits),
+      m_tokens(tokens),
+      m_next_call(next_call),
+      m_peers(peers),
+      m_policies(std::move(policies)) {}
+
+OwnerEffects OwnerShard::Apply(const OwnerInput& in) {
+  OwnerEffects out;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_now = in.now();
+  std::visit([&](const auto& event) { On(event, in.now(), out); }, in.event());
+  StartWaiting(in.now(), out);
+  Upkeep(in.now(), out);
+  FlushReports(out);
+  return out;
+}
+
+std::vector<RoomDigest> OwnerShard::Digests() const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return DigestsLocked();
+}
+
+std::size_t OwnerShard::Load() const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  std::size_t load = m_waiting.size();
+  for (const auto& [id, owned] : m_workers) load += owned.session.runs();
+  return load;
+}
+
+void OwnerShard::On(const OwnWorkers& event, Instant now, OwnerEffects& out) {
+  std::map<WorkerId, const WorkerListing*> wanted;
+  for (const WorkerListing& listing : event.workers()) wanted[listing.id()] = &listing;
+  for (auto item = m_workers.begin(); item != m_workers.end();) {
+    const auto found = wanted.find(item->first);
+    Owned& owned = item->second;
+    const bool same_life = found != wanted.end() &&
+                           found->second->born_ms() == owned.session.listing().born_ms() &&
+                           found->second->address() == owned.session.listing().address();
+    if (same_life) {
+      owned.session.UpdateListing(*found->second);
+      wanted.erase(found);
+      ++item;
+      continue;
+    }
+    News news;
+    if (found != wanted.end()) {
+      owned.session.EndLife("reborn", news);
+    } else {
+      owned.session.Release(news);
+    }
+    TakeIn(owned, news, now, out);
+    out.emplace_back(LogEvent(LogLevel::kInfo, "worker_released", {{"worker", item->first}}));
+    m_policies.outliers().Forget(owned.session.listing().address());
+    m_speeds.Forget(item->first);
+    item = m_workers.erase(item);
+  }
+  for (const auto& [id, listing] : wanted) {
+    const FencingToken token = m_tokens.Next(now);
+    m_workers.emplace(id, Owned(*listing, token, m_limits, now));
+    out.emplace_back(LogEvent(LogLevel::kInfo, "worker_taken",
+                              {{"worker", id}, {"token", std::to_string(token)}}));
+  }
+}
+
+void OwnerShard::On(const CoordinatorLost& event, Instant /*now*/, OwnerEffects& out) {
+  const auto gone = std::remove_if(
+      m_waiting.begin(), m_waiting.end(),
+      [&](const WaitingRun& waiting) { return waiting.coordinator() == event.coordinator(); });
+  out.emplace_back(LogEvent(LogLevel::kWarning, "coordinator_lost",
+                            {{"coordinator", event.coordinator().text()},
+                             {"waiting_dropped", std::to_string(m_waiting.end() - gone)}}));
+  m_waiting.erase(gone, m_waiting.end());
+  for (auto& [id, owned] : m_workers) owned.session.CancelAllOf(event.coordinator());
+}
+
+void OwnerShard::On(const PlaceRuns& event, Instant now, OwnerEffects& /*out*/) {
+  for (const RunOrder& order : event.runs()) {
+    m_waiting.emplace_back(order, event.coordinator(), event.service(), event.payload(),
+                           event.priority(), now, now + event.objective_left(),
+                           now + event.useful_left());
+  }
+}
+
+void OwnerShard::On(const CancelRuns& event, Instant /*now*/, OwnerEffects& /*out*/) {
+  for (const RunKey& run : event.runs()) {
+    const auto waiting =
+        std::find_if(m_waiting.begin(), m_waiting.end(), [&](const WaitingRun& candidate) {
+          return candidate.order().run() == run && candidate.coordinator() == event.coordinator();
+        });
+    if (waiting != m_waiting.end()) {
+      Decline(*waiting, "cancelled");
+      m_waiting.erase(waiting);
+      continue;
+    }
+    const bool known = std::any_of(m_workers.begin(), m_workers.end(),
+                                   [&](auto& item) { return item.second.session.Cancel(run); });
+    if (!known) {
+      m_reports[event.coordinator()].emplace_back(run, RunNews::kEnded, RunEnd::kAbsent, "",
+                                                  "not_here");
+    }
+  }
+}
+
+void OwnerShard::On(const AdoptRun& event, Instant now, OwnerEffects& out) {
+  const auto found = m_workers.find(event.worker());
+  if (found == m_workers.end()) {
+    m_reports[event.coordinator()].emplace_back(event.run(), RunNews::kReleased, RunEnd::kAbsent,
+                                                event.worker(), "not_owner");
+    return;
+  }
+  News news;
+  found->second.session.Adopt(event, news);
+  TakeIn(found->second, news, now, out);
+}
+
+void OwnerShard::On(const StartReplied& event, Instant now, OwnerEffects& out) {
+  const auto found = m_workers.find(event.worker());
+  if (found == m_workers.end()) return;
+  News news;
+  Session& session = found->second.session;
+  session.OnStartReply(event, m_next_call.load(), now, news);
+  if (event.outcome() == CallOutcome::kUnknown) {
+    // an order without an answer is made void by a higher token
+    session.Retake(m_tokens.Next(now), now);
+  }
+  if (event.outcome() != CallOutcome::kOk) {
+    out.emplace_back(LogEvent(LogLevel::kWarning, "start_refused",
+                              {{"worker", event.worker()},
+                               {"outcome", CallOutcomeWord(event.outcome())},
+                               {"token", std::to_string(event.token())}}));
+  }
+  TakeIn(found->second, news, now, out);
+}
+
+void OwnerShard::On(const RenewalReplied& event, Instant now, OwnerEffects& out) {
+  const auto found = m_workers.find(event.worker());
+  if (found == m_workers.end()) return;
+  News news;
+  Session& session = found->second.session;
+  const bool was_held = session.phase() == Session::Phase::kHeld;
+  session.OnRenewal(event, now, news);
+  const bool is_held = session.phase() == Session::Phase::kHeld;
+  if (is_held) found->second.refusals = 0;
+  if (is_held != was_held) {
+    out.emplace_back(LogEvent(is_held ? LogLevel::kInfo : LogLevel::kWarning,
+                              is_held ? "worker_held" : "worker_lost",
+                              {{"worker", event.worker()},
+                               {"outcome", CallOutcomeWord(event.outcome())},
+                               {"token", std::to_string(event.token())},
+                               {"runs", std::to_string(session.runs())}}));
+  }
+  TakeIn(found->second, news, now, out);
+}
+
+void OwnerShard::On(const OwnerTick& /*event*/, Instant now, OwnerEffects& out) {
+  for (auto& [id, owned] : m_workers) {
+    Session& session = owned.session;
+    News news;
+    session.ExpireLeases(now, news);
+    const std::uint32_t stragglers = session.CancelStragglers(m_speeds.Slowness(id), now);
+    for (std::uint32_t i = 0; i < stragglers; ++i) {
+      m_policies.outliers().OnFailure(session.listing().address(), now);
+    }
+    if (stragglers > 0) {
+      out.emplace_back(LogEvent(LogLevel::kWarning, "stragglers_stopped",
+                                {{"worker", id}, {"runs", std::to_string(stragglers)}}));
+    }
+    TakeIn(owned, news, now, out);
+    if (session.phase() == Session::Phase::kFenced && now >= owned.retry_at) {
+      session.Retake(m_tokens.Next(now), now);
+    }
+  }
+  DeclineOverdue(now);
+}
+
+void OwnerShard::TakeIn(Owned& owned, const News& news, Instant now, OwnerEffects& out) {
+  const WorkerId& id = owned.session.listing().id();
+  const Address& address = owned.session.listing().address();
+  for (const auto& addressed : news.reports) {
+    m_reports[addressed.coordinator()].push_back(addressed.report());
+  }
+  for (const auto& finished : news.finished) {
+    m_speeds.Learn(id, finished.declared(), finished.measured());
+    m_policies.outliers().OnSuccess(address);
+  }
+  for (std::uint32_t i = 0; i < news.failures; ++i) m_policies.outliers().OnFailure(address, now);
+  if (!news.fenced) return;
+  const std::uint32_t doublings = std::min(owned.refusals, kMaxRefusalDoublings);
+  owned.retry_at = now + kFirstRefusalPause * (1U << doublings);
+  ++owned.refusals;
+  // a token that is too low for want of a right clock is made up for by and by
+  m_tokens.SkipAhead(kFirstRefusalPause * (1U << doublings));
+  out.emplace_back(LogEvent(LogLevel::kWarning, "worker_fenced",
+                            {{"worker", id},
+                             {"refusals", std::to_string(owned.refusals)},
+                             {"retry_in_ms", MillisText(owned.retry_at - now)}}));
+}
+
+void OwnerShard::DeclineOverdue(Instant now) {
+  std::vector<WaitingRun> kept;
+  kept.reserve(m_waiting.size());
+  for (const WaitingRun& waiting : m_waiting) {
+    if (now >= waiting.useless_at()) {
+      Decline(waiting, "too_late");
+    } else if (now - waiting.since() > kMoveAfter &&
+               m_peers.HasRoomElsewhere(m_self, waiting.service(), waiting.order().needs())) {
+      Decline(waiting, "room_elsewhere");
+    } else {
+      kept.push_back(waiting);
+    }
+  }
+  m_waiting.swap(kept);
+}
+
+void OwnerShard::StartWaiting(Instant now, OwnerEffects& out) {
+  if (m_waiting.empty()) return;
+  const StartOrder& order = m_policies.order();
+  std::stable_sort(
+      m_waiting.begin(), m_waiting.end(),
+      [&](const WaitingRun& a, const WaitingRun& b) { return order.Before(a, b, now); });
+  std::vector<WaitingRun> kept;
+  kept.reserve(m_waiting.size());
+  for (WaitingRun& waiting : m_waiting) {
+    if (!TryStart(waiting, now, out)) kept.push_back(std::move(waiting));
+  }
+  m_waiting.swap(kept);
+}
+
+bool OwnerShard::MayTake(const Owned& owned, const WaitingRun& waiting, Instant now) const {
+  const Session& session = owned.session;
+  const RunOrder& order = waiting.order();
+  if (!session.Usable() || session.listing().service() != waiting.service()) return false;
+  if (!session.Room().Covers(order.needs())) return false;
+  if (!order.label().empty() && !session.listing().HasLabel(order.label())) return false;
+  if (order.per_worker_limit() > 0 &&
+      session.CountOfStep(order.run().task()) >= order.per_worker_limit()) {
+    return false;
+  }
+  const OutlierDetector& outliers = m_policies.outliers();
+  return session.runs() < outliers.Allowance(session.listing().address(), kUnlimitedSlots, now);
+}
+
+bool OwnerShard::TryStart(const WaitingRun& waiting, Instant now, OwnerEffects& out) {
+  std::vector<Candidate> candidates;
+  std::vector<Owned*> owners;
+  for (auto& [id, owned] : m_workers) {
+    if (!MayTake(owned, waiting, now)) continue;
+    candidates.emplace_back(owned.session.listing(), owned.session.Room(), m_speeds.Slowness(id));
+    owners.push_back(&owned);
+  }
+  if (candidates.empty()) return false;
+  Owned& chosen = *owners[m_policies.choice().Choose(waiting.order(), candidates)];
+  out.emplace_back(chosen.session.Start(waiting, m_next_call++, now));
+  return true;
+}
+
+void OwnerShard::Upkeep(Instant now, OwnerEffects& out) {
+  for (auto& [id, owned] : m_workers) {
+    for (StopRun& stop : owned.session.DueStops(m_next_call, now)) {
+      out.emplace_back(std::move(stop));
+    }
+    if (auto renewal = owned.session.NextRenewal(m_next_call++, now)) {
+      out.emplace_back(std::move(*renewal));
+    }
+  }
+}
+
+void OwnerShard::Decline(const WaitingRun& waiting, const std::string& reason) {
+  m_reports[waiting.coordinator()].emplace_back(waiting.order().run(), RunNews::kDeclined,
+                                                RunEnd::kAbsent, "", reason);
+}
+
+void OwnerShard::FlushReports(OwnerEffects& out) {
+  for (auto& [coordinator, reports] : m_reports) {
+    if (!reports.empty()) out.emplace_back(ReportRuns(coordinator, std::move(reports)));
+  }
+  m_reports.clear();
+}
+
+std::vector<RoomDigest> OwnerShard::DigestsLocked() const {
+  struct Sum {
+    std::vector<WorkerRoom> rooms;
+    std::int64_t milli_cores = 0;
+    double waiting_core_ms = 0;
+  };
+  std::map<std::string, Sum> sums;
+  const OutlierDetector& outliers = m_policies.outliers();
+  for (const auto& [id, owned] : m_workers) {
+    const Session& session = owned.session;
+    // a service without a usable worker is told of too
+    Sum& sum = sums[session.listing().service()];
+    if (!session.Usable()) continue;
+    const double slowness = m_speeds.Slowness(id);
+    const auto allowance = outliers.Allowance(session.listing().address(), kUnlimitedSlots, m_now);
+    if (allowance == 0) continue;
+    sum.milli_cores += session.listing().capacity().milli_cores();
+    if (session.runs() >= allowance) continue;
+    const Resources room = session.Room();
+    if (room.milli_cores() > 0) sum.rooms.emplace_back(id, room, slowness);
+  }
+  double waiting = 0;
+  for (const WaitingRun& run : m_waiting) {
+    waiting +=
+        static_cast<double>(run.order().needs().milli_cores()) * ToMillis(run.order().estimate());
+  }
+  std::vector<RoomDigest> digests;
+  for (auto& [service, sum] : sums) {
+    const double wait_ms = sum.milli_cores > 0 ? waiting / static_cast<double>(sum.milli_cores) : 0;
+    digests.emplace_back(service, std::move(sum.rooms), FromMillis(wait_ms), sum.milli_cores);
+  }
+  return digests;
+}
+
+}  // namespace sapphireflow
--- /dev/null
+++ b/src/ownership/start_order.cc
@@ -0,0 +1,25 @@
+// Part of ownership: the order of waiting runs.
+#include "sapphireflow/ownership/start_order.h"
+
+#include <tuple>
+
+namespace sapphireflow {
+
+bool ArrivalOrder::Before(const WaitingRun& a, const WaitingRun& b, Instant /*now*/) const {
+  return a.since() < b.since();
+}
+
+bool LeastSlackOrder::Before(const WaitingRun& a, const WaitingRun& b, Instant now) const {
+  const Instant latest_a = a.objective_at() - a.order().estimate();
+  const Instant latest_b = b.objective_at() - b.order().estimate();
+  return std::make_tuple(latest_a < now, latest_a, a.since()) <
+         std::make_tuple(latest_b < now, latest_b, b.since());
+}
+
+std::unique_ptr<StartOrder> MakeStartOrder(const std::string& name) {
+  if (name == "arrival") return std::make_unique<ArrivalOrder>();
+  if (name == "least-slack") return std::make_unique<LeastSlackOrder>();
+  return nullptr;
+}
+
+}  // namespace sapphireflow
--- /dev/null
+++ b/src/ownership/worker_session.cc
@@ -0,0 +1,377 @@
+// Part of ownership: one worker under one owner.
+#include "sapphireflow/ownership/detail/worker_session.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace sapphireflow::detail {
+namespace {
+
+// two renewals fit into a lease of one second, with time for one to be lost
+constexpr Duration kRenewalWait = std::chrono::milliseconds(400);
+// beyond the wait: a worker answers in a millisecond, and a throttled core stalls for up to 100 ms
+constexpr Duration kRenewalSlack = std::chrono::milliseconds(250);
+constexpr Duration kStartTimeout = std::chrono::milliseconds(250);
+constexpr Duration kStopTimeout = std::chrono::milliseconds(250);
+constexpr Duration kStopAgain = std::chrono::milliseconds(200);
+// how long coordinators have to claim what a new owner finds on a worker
+constexpr Duration kAdoptionTime = std::chrono::milliseconds(300);
+constexpr Duration kFirstPause = std::chrono::milliseconds(50);
+constexpr Duration kLongestPause = std::chrono::milliseconds(1000);
+constexpr Duration kPauseAfterEnd = std::chrono::milliseconds(1000);
+constexpr std::size_t kMaxUnclaimedEnds = 2000;
+// declared run times are off by a half on average; a quarter of the runs' distribution in
+// logarithms lies beyond twice the time, next to none beyond this
+constexpr double kStragglerFactor = 4.0;
+constexpr Duration kStragglerFloor = std::chrono::milliseconds(250);
+
+}  // namespace
+
+WorkerSession::WorkerSession(WorkerListing listing, FencingToken token, const LeaseLimits& limits,
+                             Instant now)
+    : m_listing(std::move(listing)), m_token(token), m_limits(limits), m_lease_sent(now) {}
+
+bool WorkerSession::Usable() const {
+  if (m_phase != Phase::kHeld || m_suspect || m_listing.draining()) return false;
+  return std::all_of(m_runs.begin(), m_runs.end(),
+                     [](const auto& item) { return item.second.coordinator.has_value(); });
+}
+
+Resources WorkerSession::Room() const {
+  Resources room = m_listing.capacity();
+  for (const auto& [run, record] : m_runs) room = room - record.needs;
+  return room;
+}
+
+std::uint32_t WorkerSession::CountOfStep(const TaskKey& task) const {
+  return static_cast<std::uint32_t>(
+      std::count_if(m_runs.begin(), m_runs.end(), [&task](const auto& item) {
+        const TaskKey& other = item.first.task();
+        return other.job() == task.job() && other.occurrence() == task.occurrence() &&
+               other.step() == task.step();
+      }));
+}
+
+StartRun WorkerSession::Start(const WaitingRun& waiting, CallNumber call, Instant now) {
+  Run record;
+  record.coordinator = waiting.coordinator();
+  record.needs = waiting.order().needs();
+  record.estimate = waiting.order().estimate();
+  record.start_token = m_token;
+  record.start_call = call;
+  record.since = now;
+  m_runs[waiting.order().run()] = std::move(record);
+  m_lease_sent = now;
+  return {MakeCall(call, LeaseUntil(now)), waiting.order().run(), waiting.payload(), kStartTimeout};
+}
+
+void WorkerSession::OnStartReply(const StartReplied& reply, CallNumber newest_call, Instant now,
+                                 SessionNews& news) {
+  const auto found = m_runs.find(reply.run());
+  if (found == m_runs.end() || found->second.start_call != reply.call() ||
+      found->second.phase != RunPhase::kStarting) {
+    return;
+  }
+  Run& record = found->second;
+  switch (reply.outcome()) {
+    case CallOutcome::kOk:
+      record.phase = RunPhase::kRunning;
+      record.known_by_call = newest_call;
+      Tell(reply.run(), record, RunNews::kStarted, RunEnd::kDone, "", news);
+      return;
+    case CallOutcome::kUnknown:
+      // the run keeps its room until a renewal under a higher token shows what became of it
+      m_suspect = true;
+      ++news.failures;
+      return;
+    case CallOutcome::kOtherLife:
+    case CallOutcome::kNoProcess:
+      EndLife(CallOutcomeWord(reply.outcome()), news);
+      return;
+    case CallOutcome::kFenced:
+      if (reply.token() == m_token) {
+        Tell(reply.run(), record, RunNews::kDeclined, RunEnd::kAbsent, "fenced", news);
+        m_runs.erase(found);
+        Fence(news);
+        return;
+      }
+      break;
+    case CallOutcome::kUnhealthy:
+    case CallOutcome::kNotSent:
+      ++news.failures;
+      m_suspect = true;
+      m_renew_now = true;
+      break;
+    case CallOutcome::kExpired:
+      if (reply.clock_ms() > 0) {
+        m_clock_ms = reply.clock_ms();
+        m_clock_read_at = now;
+      }
+      break;
+    case CallOutcome::kStaleRun:
+    case CallOutcome::kNoRoom:
+    case CallOutcome::kBadOrder:
+      break;
+  }
+  Tell(reply.run(), record, RunNews::kDeclined, RunEnd::kAbsent, CallOutcomeWord(reply.outcome()),
+       news);
+  m_runs.erase(found);
+}
+
+void WorkerSession::OnRenewal(const RenewalReplied& reply, Instant now, SessionNews& news) {
+  m_renewals.erase(reply.call());
+  // answers on different connections may overtake each other
+  if (reply.call() <= m_newest_answered || m_phase == Phase::kFenced) return;
+  switch (reply.outcome()) {
+    case CallOutcome::kOk: {
+      const WorkerReport& report = *reply.report();
+      if (report.born_ms() != 0 && m_listing.born_ms() != 0 &&
+          report.born_ms() != m_listing.born_ms()) {
+        EndLife("reborn", news);
+        return;
+      }
+      m_newest_answered = reply.call();
+      m_clock_ms = report.clock_ms();
+      m_clock_read_at = now;
+      m_missed = 0;
+      if (reply.token() == m_token) {
+        m_phase = Phase::kHeld;
+        m_suspect = false;
+      }
+      TakeEnds(report, now, news);
+      CompareRunning(reply, now, news);
+      m_renew_now = !NewerRenewalUnderWay(reply.call());
+      return;
+    }
+    case CallOutcome::kFenced:
+      if (reply.token() == m_token) Fence(news);
+      return;
+    case CallOutcome::kOtherLife:
+    case CallOutcome::kNoProcess:
+      EndLife(CallOutcomeWord(reply.outcome()), news);
+      m_renew_at = now + kPauseAfterEnd;
+      return;
+    default:
+      ++m_missed;
+      m_suspect = true;
+      m_renew_now = !NewerRenewalUnderWay(reply.call());
+      m_renew_at = now + std::min(kLongestPause, kFirstPause * (1U << std::min(m_missed, 5U)));
+  }
+}
+
+bool WorkerSession::NewerRenewalUnderWay(CallNumber call) const {
+  return !m_renewals.empty() && m_renewals.rbegin()->first > call;
+}
+
+void WorkerSession::TakeEnds(const WorkerReport& report, Instant now, SessionNews& news) {
+  for (const EndedRun& ended : report.ended()) {
+    if (ended.number() <= m_acknowledged) continue;
+    m_acknowledged = ended.number();
+    const auto found = m_runs.find(ended.run());
+    if (found == m_runs.end()) {
+      if (m_unclaimed_ends.size() < kMaxUnclaimedEnds) {
+        m_unclaimed_ends[ended.run()] = ended.end();
+      }
+      continue;
+    }
+    const Run& record = found->second;
+    if (ended.end() == RunEnd::kDone) {
+      news.finished.emplace_back(record.estimate, now - record.since);
+    } else if (ended.end() == RunEnd::kFailed || record.straggler) {
+      ++news.failures;
+    }
+    if (record.coordinator) {
+      Tell(ended.run(), record, RunNews::kEnded, ended.end(), record.straggler ? "straggler" : "",
+           news);
+    } else {
+      m_unclaimed_ends[ended.run()] = ended.end();
+    }
+    m_runs.erase(found);
+  }
+}
+
+void WorkerSession::CompareRunning(const RenewalReplied& reply, Instant now, SessionNews& news) {
+  const auto& listed = reply.report()->running();
+  const std::set<RunKey> running(listed.begin(), listed.end());
+  for (auto item = m_runs.begin(); item != m_runs.end();) {
+    Run& record = item->second;
+    const bool is_listed = running.count(item->first) > 0;
+    if (is_listed && record.phase == RunPhase::kStarting) {
+      record.phase = RunPhase::kRunning;
+      record.known_by_call = reply.call();
+      Tell(item->first, record, RunNews::kStarted, RunEnd::kDone, "listed", news);
+    } else if (!is_listed && record.phase == RunPhase::kStarting &&
+               record.start_token < reply.token()) {
+      Tell(item->first, record, RunNews::kDeclined, RunEnd::kAbsent, "never_started", news);
+      item = m_runs.erase(item);
+      continue;
+    } else if (!is_listed && record.phase == RunPhase::kRunning &&
+               reply.call() > record.known_by_call) {
+      Tell(item->first, record, RunNews::kEnded, RunEnd::kAbsent, "not_listed", news);
+      ++news.failures;
+      item = m_runs.erase(item);
+      continue;
+    }
+    ++item;
+  }
+  for (const RunKey& run : running) {
+    if (m_runs.count(run) > 0) continue;
+    Run record;
+    record.phase = RunPhase::kRunning;
+    record.known_by_call = reply.call();
+    record.since = now;
+    m_runs[run] = std::move(record);
+  }
+}
+
+void WorkerSession::Adopt(const AdoptRun& adoption, SessionNews& news) {
+  const auto found = m_runs.find(adoption.run());
+  if (found != m_runs.end()) {
+    Run& record = found->second;
+    record.coordinator = adoption.coordinator();
+    record.needs = adoption.needs();
+    record.estimate = adoption.estimate();
+    if (record.phase == RunPhase::kRunning) {
+      Tell(adoption.run(), record, RunNews::kStarted, RunEnd::kDone, "adopted", news);
+    }
+    return;
+  }
+  Run unknown;
+  unknown.coordinator = adoption.coordinator();
+  if (m_phase == Phase::kTaking) {
+    // the answer to the renewal under way decides
+    unknown.phase = RunPhase::kStarting;
+    unknown.needs = adoption.needs();
+    unknown.estimate = adoption.estimate();
+    m_runs[adoption.run()] = std::move(unknown);
+    return;
+  }
+  if (m_phase == Phase::kFenced) {
+    Tell(adoption.run(), unknown, RunNews::kReleased, RunEnd::kAbsent, "not_owner", news);
+    return;
+  }
+  const auto ended = m_unclaimed_ends.find(adoption.run());
+  const RunEnd end = ended == m_unclaimed_ends.end() ? RunEnd::kAbsent : ended->second;
+  Tell(adoption.run(), unknown, RunNews::kEnded, end, "adopted", news);
+}
+
+bool WorkerSession::Cancel(const RunKey& run) {
+  const auto found = m_runs.find(run);
+  if (found == m_runs.end()) return false;
+  found->second.stop_wanted = true;
+  return true;
+}
+
+void WorkerSession::CancelAllOf(const NodeId& coordinator) {
+  for (auto& [run, record] : m_runs) {
+    if (record.coordinator == coordinator) record.stop_wanted = true;
+  }
+}
+
+std::uint32_t WorkerSession::CancelStragglers(double slowness, Instant now) {
+  std::uint32_t found = 0;
+  for (auto& [run, record] : m_runs) {
+    if (record.phase != RunPhase::kRunning || record.stop_wanted || !record.coordinator) continue;
+    const auto expected = FromMillis(ToMillis(record.estimate) * slowness * kStragglerFactor);
+    if (now - record.since < std::max(kStragglerFloor, expected)) continue;
+    record.stop_wanted = true;
+    record.straggler = true;
+    ++found;
+  }
+  return found;
+}
+
+void WorkerSession::ExpireLeases(Instant now, SessionNews& news) {
+  if (m_runs.empty() || now - m_lease_sent < m_limits.lapse_time()) return;
+  if (m_phase != Phase::kHeld && m_phase != Phase::kTaking) return;
+  // the newest answer came after the last order that could have prolonged the lease
+  if (!m_suspect) return;
+  for (const auto& [run, record] : m_runs) {
+    if (!record.coordinator) continue;
+    Tell(run, record, RunNews::kEnded, RunEnd::kLapsed, "worker_silent", news);
+    ++news.failures;
+  }
+  m_runs.clear();
+}
+
+void WorkerSession::Release(SessionNews& news) {
+  for (const auto& [run, record] : m_runs) {
+    if (!record.coordinator) continue;
+    Tell(run, record, RunNews::kReleased, RunEnd::kAbsent, "new_owner", news);
+  }
+  m_runs.clear();
+}
+
+void WorkerSession::Fence(SessionNews& news) {
+  Release(news);
+  m_phase = Phase::kFenced;
+  news.fenced = true;
+}
+
+void WorkerSession::EndLife(const std::string& reason, SessionNews& news) {
+  for (const auto& [run, record] : m_runs) {
+    if (!record.coordinator) continue;
+    Tell(run, record, RunNews::kEnded, RunEnd::kAbsent, reason, news);
+  }
+  m_runs.clear();
+  m_unclaimed_ends.clear();
+  m_acknowledged = 0;
+  m_clock_ms.reset();
+  m_phase = Phase::kOver;
+  m_suspect = true;
+  m_renew_now = true;
+}
+
+void WorkerSession::Retake(FencingToken token, Instant now) {
+  m_token = token;
+  m_renew_now = true;
+  m_renew_at = Instant{};
+  if (m_phase != Phase::kFenced) return;
+  m_phase = Phase::kTaking;
+  m_lease_sent = now;
+}
+
+std::optional<RenewLease> WorkerSession::NextRenewal(CallNumber call, Instant now) {
+  if (m_phase == Phase::kFenced || !m_renew_now || now < m_renew_at) return std::nullopt;
+  m_renew_now = false;
+  m_renewals.emplace(call, now);
+  const bool adopted = std::any_of(m_runs.begin(), m_runs.end(), [](const auto& item) {
+    return item.second.coordinator.has_value() && !item.second.stop_wanted;
+  });
+  const bool prolong = adopted && m_phase == Phase::kHeld;
+  if (prolong) m_lease_sent = now;
+  const Duration wait = m_phase == Phase::kHeld && !m_suspect ? kRenewalWait : Duration::zero();
+  return RenewLease(MakeCall(call, prolong ? LeaseUntil(now) : 0), m_acknowledged, wait,
+                    wait + kRenewalSlack);
+}
+
+std::vector<StopRun> WorkerSession::DueStops(std::atomic<CallNumber>& next_call, Instant now) {
+  std::vector<StopRun> stops;
+  if (m_phase != Phase::kHeld) return stops;
+  for (auto& [run, record] : m_runs) {
+    if (!record.coordinator && now - record.since >= kAdoptionTime) record.stop_wanted = true;
+    if (!record.stop_wanted || now - record.stop_sent < kStopAgain) continue;
+    record.stop_sent = now;
+    stops.emplace_back(MakeCall(next_call++, 0), run, kStopTimeout);
+  }
+  return stops;
+}
+
+void WorkerSession::Tell(const RunKey& run, const Run& record, RunNews what, RunEnd end,
+                         const std::string& reason, SessionNews& news) const {
+  if (!record.coordinator) return;
+  news.reports.emplace_back(*record.coordinator, RunReport(run, what, end, m_listing.id(), reason));
+}
+
+std::int64_t WorkerSession::LeaseUntil(Instant now) const {
+  if (!m_clock_ms) return 0;
+  const Duration since_read = now - m_clock_read_at;
+  return *m_clock_ms + static_cast<std::int64_t>(ToMillis(since_read + m_limits.max_lease()));
+}
+
+WorkerCall WorkerSession::MakeCall(CallNumber call, std::int64_t lease_until_ms) const {
+  return {m_listing.id(), m_listing.address(), m_token, call, lease_until_ms};
+}
+
+}  // namespace sapphireflow::detail
--- /dev/null
+++ b/src/routing/dispatch_node.cc
@@ -0,0 +1,323 @@
+// Part of routing: the way of each event through the parts of a dispatch node.
+#include "sapphireflow/routing/dispatch_node.h"
+
+#include <functional>
+#include <set>
+#include <utility>
+
+namespace sapphireflow {
+namespace {
+
+constexpr std::size_t kJobShards = 4;
+// a service's workers and waiting runs share one lock
+constexpr std::size_t kOwnerShards = 2;
+// after the lapse of a lease: how long an owner out of touch may go on renewing it, until it finds
+// that it has lost its coordinator too
+constexpr Duration kSilentOwnerTime = std::chrono::milliseconds(650);
+
+OwnerPolicies MakePolicies(const DispatchSettings& settings) {
+  return {MakeStartOrder(settings.start_order()),
+          std::make_unique<EarliestEndChoice>(settings.remote_factor()),
+          MakeOutlierDetector(settings.outliers())};
+}
+
+}  // namespace
+
+DispatchNode::DispatchNode(const NodeId& self, const std::string& zone,
+                           const DispatchSettings& settings)
+    : m_self(self),
+      m_zone(zone),
+      m_tokens(self),
+      m_rooms(self, zone, MakeOwnerChoice(settings.owner_choice())),
+      m_members(self, zone) {
+  const Duration lapse = settings.leases().lapse_time() + kSilentOwnerTime;
+  for (std::size_t i = 0; i < kJobShards; ++i) {
+    m_jobs.push_back(std::make_unique<JobShard>(self, lapse, m_rooms, m_members));
+  }
+  for (std::size_t i = 0; i < kOwnerShards; ++i) {
+    m_owners.push_back(std::make_unique<OwnerShard>(self, settings.leases(), MakePolicies(settings),
+                                                    m_tokens, m_next_call, m_rooms));
+  }
+}
+
+DispatchEffects DispatchNode::Apply(const DispatchInput& in) {
+  Pass pass{in.now(), {}, {}};
+  std::visit([&](const auto& event) { Take(event, pass); }, in.event());
+  Drain(pass);
+  return std::move(pass.out);
+}
+
+std::size_t DispatchNode::OpenJobs() const {
+  std::size_t open = 0;
+  for (const auto& shard : m_jobs) open += shard->OpenJobs();
+  return open;
+}
+
+std::size_t DispatchNode::OwnerShardOf(const std::string& service) const {
+  return std::hash<std::string>()(service) % m_owners.size();
+}
+
+std::size_t DispatchNode::OwnerShardOfWorker(const WorkerId& worker) const {
+  std::lock_guard<std::mutex> lock(m_workers_mutex);
+  const auto found = m_service_of.find(worker);
+  return found == m_service_of.end() ? 0 : OwnerShardOf(found->second);
+}
+
+void DispatchNode::Take(const SubmitWork& event, Pass& pass) {
+  pass.work.emplace_back(ForJobs{JobShardOf(event.order()->key()), event});
+}
+
+void DispatchNode::Take(const CallerGone& event, Pass& pass) { ToAllJobs(event, pass); }
+
+void DispatchNode::Take(const AskWork& event, Pass& pass) {
+  if (event.question() == WorkQuestion::kWaitingCount) {
+    std::uint64_t waiting = 0;
+    for (const auto& shard : m_jobs) waiting += shard->WaitingJobs(event.queue());
+    pass.out.emplace_back(
+        AnswerWork(event.token(), WorkVerdict::kCount, std::nullopt, Duration::zero(), waiting));
+    return;
+  }
+  pass.work.emplace_back(ForJobs{JobShardOf(event.job()), event});
+}
+
+void DispatchNode::Take(const WorkersListed& event, Pass& pass) {
+  {
+    std::lock_guard<std::mutex> lock(m_workers_mutex);
+    for (const WorkerListing& worker : event.workers()) {
+      m_service_of[worker.id()] = worker.service();
+    }
+  }
+  m_members.SetWorkers(event.workers());
+  m_rooms.SetListings(event.workers());
+  AssignWorkers(pass);
+}
+
+void DispatchNode::Take(const MembersListed& event, Pass& pass) {
+  Follow(m_members.OnListed(event.members(), pass.now), pass);
+}
+
+void DispatchNode::Take(const ConfigurationCopy& event, Pass& pass) {
+  const std::uint64_t before = m_configuration.version();
+  if (!m_configuration.Take(event.configuration())) return;
+  pass.out.emplace_back(
+      LogEvent(LogLevel::kInfo, "configuration_in_force",
+               {{"version", std::to_string(event.configuration()->version())},
+                {"before", std::to_string(before)},
+                {"queues", std::to_string(event.configuration()->queues().size())}}));
+}
+
+void DispatchNode::Take(const DispatchMessage& event, Pass& pass) {
+  std::visit([&](const auto& message) { Receive(message, pass); }, event);
+}
+
+void DispatchNode::Take(const LinkDown& event, Pass& pass) {
+  Follow(m_members.OnLinkDown(event.peer(), pass.now), pass);
+}
+
+void DispatchNode::Take(const StartReplied& event, Pass& pass) {
+  pass.work.emplace_back(ForOwners{OwnerShardOfWorker(event.worker()), event});
+}
+
+void DispatchNode::Take(const RenewalReplied& event, Pass& pass) {
+  pass.work.emplace_back(ForOwners{OwnerShardOfWorker(event.worker()), event});
+}
+
+void DispatchNode::Take(const DispatchTick& /*event*/, Pass& pass) {
+  Follow(m_members.OnTick(pass.now), pass);
+  ToAllOwners(OwnerTick(), pass);
+  ToAllJobs(JobTick(), pass);
+  Drain(pass);
+  SendBeats(pass);
+}
+
+void DispatchNode::Take(const StopPlanned& /*event*/, Pass& pass) {
+  m_draining = true;
+  m_members.SetDraining();
+  AssignWorkers(pass);
+  m_rooms.Forget(m_self);
+  Drain(pass);
+  SendBeats(pass);
+}
+
+void DispatchNode::Receive(const PlaceRuns& message, Pass& pass) {
+  pass.work.emplace_back(ForOwners{OwnerShardOf(message.service()), message});
+}
+
+void DispatchNode::Receive(const CancelRuns& message, Pass& pass) {
+  if (message.service().empty()) {
+    ToAllOwners(message, pass);
+  } else {
+    pass.work.emplace_back(ForOwners{OwnerShardOf(message.service()), message});
+  }
+}
+
+void DispatchNode::Receive(const AdoptRun& message, Pass& pass) {
+  pass.work.emplace_back(ForOwners{OwnerShardOf(message.service()), message});
+}
+
+void DispatchNode::Receive(const RunReports& message, Pass& pass) {
+  for (const RoomDigest& digest : message.digests()) {
+    m_rooms.Update(message.owner(), "", digest);
+  }
+  SpreadReports(message, pass);
+}
+
+void DispatchNode::Receive(const MemberBeat& message, Pass& pass) {
+  m_tokens.Seen(message.token_floor());
+  Follow(m_members.OnBeat(message, pass.now), pass);
+  if (message.draining()) {
+    m_rooms.Forget(message.from());
+  } else {
+    m_rooms.KeepServices(message.from(), message.digests());
+    for (const RoomDigest& digest : message.digests()) {
+      m_rooms.Update(message.from(), message.zone(), digest);
+    }
+  }
+  if (message.configuration_version() > m_configuration.version()) {
+    pass.out.emplace_back(SendMessage(message.from().address(), ConfigurationRequest(m_self)));
+  }
+}
+
+void DispatchNode::Receive(const ConfigurationRequest& message, Pass& pass) {
+  if (const auto current = m_configuration.current()) {
+    pass.out.emplace_back(SendMessage(message.from().address(), ConfigurationCopy(current)));
+  }
+}
+
+void DispatchNode::Receive(const ConfigurationCopy& message, Pass& pass) { Take(message, pass); }
+
+void DispatchNode::Follow(const MemberChanges& changes, Pass& pass) {
+  if (changes.empty()) return;
+  for (const MemberChange& change : changes) {
+    const char* name = "member_joined";
+    switch (change.kind()) {
+      case MemberChange::Kind::kJoined:
+        break;
+      case MemberChange::Kind::kLost:
+        name = "member_lost";
+        m_rooms.Forget(change.node());
+        ToAllJobs(OwnerLost(change.node()), pass);
+        ToAllOwners(CoordinatorLost(change.node()), pass);
+        break;
+      case MemberChange::Kind::kDraining:
+        name = "member_draining";
+        m_rooms.Forget(change.node());
+        break;
+      case MemberChange::Kind::kLinkLost:
+        name = "member_link_lost";
+        ToAllJobs(OwnerLinkLost(change.node()), pass);
+        break;
+    }
+    pass.out.emplace_back(LogEvent(
+        change.kind() == MemberChange::Kind::kJoined ? LogLevel::kInfo : LogLevel::kWarning, name,
+        {{"member", change.node().text()}, {"why", change.why()}}));
+  }
+  AssignWorkers(pass);
+}
+
+void DispatchNode::AssignWorkers(Pass& pass) {
+  std::lock_guard<std::mutex> lock(m_assign_mutex);
+  std::vector<WorkerListings> by_shard(m_owners.size());
+  for (const WorkerListing& worker : m_members.OwnWorkers()) {
+    by_shard[OwnerShardOf(worker.service())].push_back(worker);
+  }
+  for (std::size_t i = 0; i < by_shard.size(); ++i) {
+    RunOwners(ForOwners{i, OwnWorkers(std::move(by_shard[i]))}, pass);
+  }
+  m_rooms.KeepServices(m_self, Digests());
+}
+
+void DispatchNode::SendBeats(Pass& pass) {
+  const auto beats = m_members.DueBeats(pass.now);
+  if (beats.empty()) return;
+  const auto digests = m_draining ? std::vector<RoomDigest>() : Digests();
+  for (const BeatAddress& beat : beats) {
+    if (beat.reset_link()) pass.out.emplace_back(ResetLink(beat.to()));
+    pass.out.emplace_back(SendMessage(
+        beat.to(),
+        MemberBeat(m_self, m_zone, m_draining, beat.sequence(), beat.echo(), beat.link_losses(),
+                   m_configuration.version(), m_tokens.highest(), digests)));
+  }
+}
+
+std::vector<RoomDigest> DispatchNode::Digests() const {
+  std::vector<RoomDigest> digests;
+  for (const auto& shard : m_owners) {
+    for (RoomDigest& digest : shard->Digests()) digests.push_back(std::move(digest));
+  }
+  return digests;
+}
+
+void DispatchNode::Drain(Pass& pass) {
+  while (!pass.work.empty()) {
+    const Work work = std::move(pass.work.front());
+    pass.work.pop_front();
+    if (const auto* jobs = std::get_if<ForJobs>(&work)) {
+      RunJobs(*jobs, pass);
+    } else {
+      RunOwners(std::get<ForOwners>(work), pass);
+    }
+  }
+}
+
+void DispatchNode::RunJobs(const ForJobs& work, Pass& pass) {
+  for (JobEffect& effect : m_jobs[work.shard]->Apply(JobInput(pass.now, work.event))) {
+    if (auto* tell = std::get_if<TellOwner>(&effect)) {
+      if (tell->owner() == m_self) {
+        Take(tell->message(), pass);
+      } else {
+        pass.out.emplace_back(SendMessage(tell->owner().address(), tell->message()));
+      }
+    } else if (auto* answer = std::get_if<AnswerWork>(&effect)) {
+      pass.out.emplace_back(std::move(*answer));
+    } else {
+      pass.out.emplace_back(std::move(std::get<LogEvent>(effect)));
+    }
+  }
+}
+
+void DispatchNode::RunOwners(const ForOwners& work, Pass& pass) {
+  OwnerShard& shard = *m_owners[work.shard];
+  OwnerEffects effects = shard.Apply(OwnerInput(pass.now, work.event));
+  const auto digests = m_draining ? std::vector<RoomDigest>() : shard.Digests();
+  for (const RoomDigest& digest : digests) m_rooms.Update(m_self, m_zone, digest);
+  for (OwnerEffect& effect : effects) {
+    if (auto* report = std::get_if<ReportRuns>(&effect)) {
+      const RunReports reports(m_self, report->reports(), digests);
+      if (report->coordinator() == m_self) {
+        SpreadReports(reports, pass);
+      } else {
+        pass.out.emplace_back(SendMessage(report->coordinator().address(), reports));
+      }
+    } else if (auto* start = std::get_if<StartRun>(&effect)) {
+      pass.out.emplace_back(std::move(*start));
+    } else if (auto* stop = std::get_if<StopRun>(&effect)) {
+      pass.out.emplace_back(std::move(*stop));
+    } else if (auto* renew = std::get_if<RenewLease>(&effect)) {
+      pass.out.emplace_back(std::move(*renew));
+    } else {
+      pass.out.emplace_back(std::move(std::get<LogEvent>(effect)));
+    }
+  }
+}
+
+void DispatchNode::SpreadReports(const RunReports& reports, Pass& pass) {
+  std::vector<std::vector<RunReport>> by_shard(m_jobs.size());
+  for (const RunReport& report : reports.reports()) {
+    by_shard[JobShardOf(report.run().task().job())].push_back(report);
+  }
+  for (std::size_t i = 0; i < by_shard.size(); ++i) {
+    if (by_shard[i].empty()) continue;
+    pass.work.emplace_back(ForJobs{i, RunReports(reports.owner(), std::move(by_shard[i]), {})});
+  }
+}
+
+void DispatchNode::ToAllJobs(const JobEvent& event, Pass& pass) const {
+  for (std::size_t i = 0; i < m_jobs.size(); ++i) pass.work.emplace_back(ForJobs{i, event});
+}
+
+void DispatchNode::ToAllOwners(const OwnerEvent& event, Pass& pass) const {
+  for (std::size_t i = 0; i < m_owners.size(); ++i) pass.work.emplace_back(ForOwners{i, event});
+}
+
+}  // namespace sapphireflow
--- /dev/null
+++ b/src/transport/dispatch_runner.cc
@@ -0,0 +1,63 @@
+// Part of transport: the effects of a dispatch node.
+#include "sapphireflow/transport/dispatch_runner.h"
+
+#include <utility>
+#include <variant>
+
+#include "sapphireflow/codec/dispatch_codec.h"
+
+namespace sapphireflow {
+
+DispatchRunner::DispatchRunner(Filter<DispatchInput, DispatchEffects>& node, const Clock& clock,
+                               WorkerGateway& workers, PeerLinks& links, PendingReplies& replies,
+                               const WorkAnswerFormat& format, EventLog& log)
+    : m_node(node),
+      m_clock(clock),
+      m_workers(workers),
+      m_links(links),
+      m_replies(replies),
+      m_format(format),
+      m_log(log) {}
+
+void DispatchRunner::Accept(DispatchEvent event) {
+  const auto effects = m_node.Apply(DispatchInput(m_clock.Now(), std::move(event)));
+  for (const DispatchEffect& effect : effects) {
+    std::visit([this](const auto& one) { Run(one); }, effect);
+  }
+}
+
+void DispatchRunner::OnPeerBytes(const std::string& bytes) {
+  auto message = DecodeDispatchMessage(bytes);
+  if (const auto* error = std::get_if<Error>(&message)) {
+    m_log.Write(LogEvent(LogLevel::kWarning, "peer_message_malformed",
+                         {{"error", error->code()}, {"why", error->message()}}));
+    return;
+  }
+  Accept(std::move(std::get<DispatchMessage>(message)));
+}
+
+void DispatchRunner::OnPeerUnreachable(const Address& peer) { Accept(LinkDown(peer)); }
+
+void DispatchRunner::Run(const StartRun& effect) {
+  m_workers.Start(effect, [this](const StartReplied& reply) { Accept(reply); });
+}
+
+void DispatchRunner::Run(const StopRun& effect) { m_workers.Stop(effect); }
+
+void DispatchRunner::Run(const RenewLease& effect) {
+  m_workers.Renew(effect, [this](const RenewalReplied& reply) { Accept(reply); });
+}
+
+void DispatchRunner::Run(const SendMessage& effect) {
+  m_links.Send(effect.to(), EncodeDispatchMessage(effect.message()));
+}
+
+void DispatchRunner::Run(const ResetLink& effect) { m_links.Reset(effect.peer()); }
+
+void DispatchRunner::Run(const AnswerWork& effect) {
+  m_replies.Respond(effect.token(), m_format.Format(effect));
+}
+
+void DispatchRunner::Run(const LogEvent& effect) { m_log.Write(effect); }
+
+}  // namespace sapphireflow
--- /dev/null
+++ b/src/transport/dispatch_service.cc
@@ -0,0 +1,145 @@
+// Part of transport: puts a dispatch node together and takes it down.
+#include "sapphireflow/transport/dispatch_service.h"
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+#include "sapphireflow/transport/clock.h"
+#include "sapphireflow/transport/directory_watch.h"
+#include "sapphireflow/transport/http_server.h"
+#include "sapphireflow/transport/new_incarnation.h"
+#include "sapphireflow/transport/peer_links.h"
+#include "sapphireflow/transport/timer_thread.h"
+
+namespace sapphireflow {
+namespace {
+
+// finer than the shortest limit that is checked by ticks, the interval of heartbeats
+constexpr Duration kTick = std::chrono::milliseconds(50);
+// the balancer asks once a second and believes the second miss
+constexpr Duration kBalancerNotice = std::chrono::milliseconds(2500);
+// left over of the grace for closing
+constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+// responses already handed to the sockets get this long to leave
+constexpr Duration kFlushTime = std::chrono::milliseconds(150);
+// members find each other through the platform's store, which only the system's processes write
+constexpr char kPeerKey[] = "sapphireflow";
+
+}  // namespace
+
+class DispatchService::Impl {
+ public:
+  Impl(const DispatchAddresses& addresses, const DispatchSettings& settings, PlatformStore& store,
+       WorkerGateway& workers, const WorkAnswerFormat& format, EventLog& log)
+      : m_addresses(addresses),
+        m_log(log),
+        m_self(addresses.peers(), NewIncarnation(m_clock.Now())),
+        m_node(m_self, addresses.zone(), settings),
+        m_timers(m_clock),
+        m_links(addresses.peers(), kPeerKey, m_listener),
+        m_runner(m_node, m_clock, workers, m_links, m_replies, format, log),
+        m_directory(MemberListing(m_self, addresses.zone()), store, m_runner, m_clock, m_timers,
+                    log) {
+    m_listener.runner = &m_runner;
+  }
+
+  ~Impl() { Stop(); }
+
+  const DispatchNode& node() const { return m_node; }
+  Sink<DispatchEvent>& events() { return m_runner; }
+  PendingReplies& replies() { return m_replies; }
+
+  std::optional<Error> Start(HttpHandler& callers, HttpHandler& readiness) {
+    m_callers = std::make_unique<HttpServer>(m_addresses.callers(), 1, callers);
+    m_readiness = std::make_unique<HttpServer>(m_addresses.readiness(), 1, readiness);
+    if (auto error = m_links.Start()) return error;
+    if (auto error = m_readiness->Start()) return error;
+    if (auto error = m_callers->Start()) return error;
+    m_log.Write(LogEvent(LogLevel::kInfo, "started",
+                         {{"zone", m_addresses.zone()},
+                          {"callers", m_addresses.callers().text()},
+                          {"member", m_self.text()}}));
+    m_directory.Start();
+    NextTick();
+    return std::nullopt;
+  }
+
+  void DrainAndStop() {
+    const Instant began = m_clock.Now();
+    m_log.Write(LogEvent(LogLevel::kInfo, "draining",
+                         {{"open", std::to_string(m_replies.size())},
+                          {"grace_ms", std::to_string(ToMillis(m_addresses.stop_grace()))}}));
+    m_runner.Accept(StopPlanned());
+    m_directory.Leave();
+    m_callers->Retire();
+    const Duration limit = m_addresses.stop_grace() - kStopReserve;
+    Pause(std::min(kBalancerNotice, limit));
+    const bool empty = m_replies.WaitUntilEmpty(limit - (m_clock.Now() - began));
+    Pause(kFlushTime);
+    Stop();
+    m_log.Write(LogEvent(LogLevel::kInfo, "stopped",
+                         {{"all_answered", empty ? "true" : "false"},
+                          {"after_ms", std::to_string(ToMillis(m_clock.Now() - began))}}));
+  }
+
+ private:
+  // the links are made before the runner that listens to them
+  struct Listener : public PeerListener {
+    void OnPeerBytes(const std::string& bytes) override { runner->OnPeerBytes(bytes); }
+    void OnPeerUnreachable(const Address& peer) override { runner->OnPeerUnreachable(peer); }
+    PeerListener* runner = nullptr;
+  };
+
+  void NextTick() {
+    m_runner.Accept(DispatchTick());
+    m_timers.At(m_clock.Now() + kTick, [this] { NextTick(); });
+  }
+
+  void Pause(Duration length) {
+    std::promise<void> over;
+    m_timers.At(m_clock.Now() + length, [&over] { over.set_value(); });
+    over.get_future().wait();
+  }
+
+  void Stop() {
+    m_timers.Stop();
+    if (m_callers) m_callers->Stop();
+    if (m_readiness) m_readiness->Stop();
+    m_links.Stop();
+  }
+
+  const DispatchAddresses m_addresses;
+  EventLog& m_log;
+  const MonotonicClock m_clock;
+  const NodeId m_self;
+  PendingReplies m_replies;
+  DispatchNode m_node;
+  TimerThread m_timers;
+  Listener m_listener;
+  PeerLinks m_links;
+  DispatchRunner m_runner;
+  DirectoryWatch m_directory;
+  std::unique_ptr<HttpServer> m_callers;
+  std::unique_ptr<HttpServer> m_readiness;
+};
+
+DispatchService::DispatchService(const DispatchAddresses& addresses,
+                                 const DispatchSettings& settings, PlatformStore& store,
+                                 WorkerGateway& workers, const WorkAnswerFormat& format,
+                                 EventLog& log)
+    : m_impl(std::make_unique<Impl>(addresses, settings, store, workers, format, log)) {}
+
+DispatchService::~DispatchService() = default;
+
+const DispatchNode& DispatchService::node() const { return m_impl->node(); }
+Sink<DispatchEvent>& DispatchService::events() { return m_impl->events(); }
+PendingReplies& DispatchService::replies() { return m_impl->replies(); }
+
+std::optional<Error> DispatchService::Start(HttpHandler& callers, HttpHandler& readiness) {
+  return m_impl->Start(callers, readiness);
+}
+
+void DispatchService::DrainAndStop() { m_impl->DrainAndStop(); }
+
+}  // namespace sapphireflow
--- a/src/transport/entry_service.cc
+++ b/src/transport/entry_service.cc
@@ -4,7 +4,6 @@
 #include <functional>
 #include <future>
 #include <memory>
-#include <random>
 #include <string>
 #include <utility>
 #include <variant>
@@ -19,6 +18,7 @@
 #include "sapphireflow/transport/entry_http.h"
 #include "sapphireflow/transport/http_client.h"
 #include "sapphireflow/transport/http_server.h"
+#include "sapphireflow/transport/new_incarnation.h"
 #include "sapphireflow/transport/peer_links.h"
 #include "sapphireflow/transport/pending_replies.h"
 #include "sapphireflow/transport/timer_thread.h"
@@ -33,14 +33,6 @@
 constexpr Duration kFlushTime = std::chrono::milliseconds(300);
 constexpr int kOk = 200;
 
-// milliseconds since the epoch, then bits of chance: no later process here repeats it
-Incarnation NewIncarnation(Instant now) {
-  constexpr int kChanceBits = 20;
-  std::random_device chance;
-  return (static_cast<Incarnation>(ToUnixMillis(now)) << kChanceBits) |
-         (chance() & ((1U << kChanceBits) - 1));
-}
-
 NodeOptions MakeNodeOptions(const EntrySettings& settings, Instant now) {
   const NodeId self(settings.addresses().peer(), NewIncarnation(now));
   return {self,
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <future>
 #include <mutex>
 #include <string>
@@ -130,6 +131,9 @@
       const std::string header = "Authorization: " + call.authorization();
       transfer->headers = curl_slist_append(transfer->headers, header.c_str());
     }
+    for (const auto& [name, value] : call.headers()) {
+      transfer->headers = curl_slist_append(transfer->headers, (name + ": " + value).c_str());
+    }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
     curl_multi_add_handle(m_multi, easy);
     m_running.emplace(easy, std::move(transfer));
@@ -141,6 +145,11 @@
       curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
       return {CallEnd::kResponded, static_cast<int>(status), std::move(transfer->received)};
     }
+    long os_error = 0;
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_error);
+    if (code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED) {
+      return {CallEnd::kNoListener, 0, curl_easy_strerror(code)};
+    }
     long sent = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
     const bool nothing_sent = sent == 0 && transfer->sent == 0;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -1,12 +1,16 @@
 // Part of transport: RESTinio behind our own interface.
 #include "sapphireflow/transport/http_server.h"
 
+#include <algorithm>
 #include <atomic>
+#include <cctype>
 #include <exception>
+#include <functional>
 #include <mutex>
 #include <restinio/all.hpp>
 #include <string>
 #include <thread>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -20,20 +24,57 @@
 // larger bodies end the connection; the handler's own limit, with a clear error, lies lower
 constexpr std::uint64_t kHardBodyLimit = 16U << 20;
 
-using Traits = restinio::default_traits_t;
+// a second request is read while the first waits, so that a caller that leaves is noticed
+constexpr std::size_t kPipelinedRequests = 2;
 
-class Responder : public HttpResponder {
+/// What is to be done when a connection closes, by connection. Thread-safe.
+class CloseWatch {
  public:
-  explicit Responder(restinio::request_handle_t request) : m_request(std::move(request)) {}
+  void Add(restinio::connection_id_t connection, std::function<void()> action) {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_actions.emplace(connection, std::move(action));
+  }
+
+  // called by RESTinio
+  void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
+    const auto cause = notice.cause();
+    if (!restinio::holds_alternative<restinio::connection_state::closed_t>(cause)) return;
+    std::vector<std::function<void()>> due;
+    {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      const auto [first, last] = m_actions.equal_range(notice.connection_id());
+      for (auto item = first; item != last; ++item) due.push_back(std::move(item->second));
+      m_actions.erase(first, last);
+    }
+    for (const auto& action : due) action();
+  }
+
+ private:
+  std::mutex m_mutex;
+  // guarded by m_mutex
+  std::unordered_multimap<restinio::connection_id_t, std::function<void()>> m_actions;
+};
+
+struct Traits : public restinio::default_traits_t {
+  using connection_state_listener_t = CloseWatch;
+};
+
+class Responder : public HttpResponder, public std::enable_shared_from_this<Responder> {
+ public:
+  /// @param retiring whether connections end with their next response
+  Responder(restinio::request_handle_t request, CloseWatch& closes,
+            const std::atomic<bool>& retiring)
+      : m_request(std::move(request)), m_closes(closes), m_retiring(retiring) {}
 
   void Respond(const HttpResponse& response) override {
     if (m_done.exchange(true)) return;
-    m_request
-        ->create_response(restinio::http_status_line_t{
-            restinio::http_status_code_t{static_cast<std::uint16_t>(response.status())}, "-"})
-        .append_header(restinio::http_field::content_type, response.content_type())
-        .set_body(response.body())
-        .done();
+    auto builder = m_request->create_response(restinio::http_status_line_t{
+        restinio::http_status_code_t{static_cast<std::uint16_t>(response.status())}, "-"});
+    builder.append_header(restinio::http_field::content_type, response.content_type());
+    for (const auto& [name, value] : response.headers()) builder.append_header(name, value);
+    if (m_retiring) builder.connection_close();
+    builder.set_body(response.body());
+    builder.done();
   }
 
   void Abort() override {
@@ -41,16 +82,33 @@
     m_request->create_response(restinio::status_internal_server_error()).connection_close().done();
   }
 
+  void OnClosed(std::function<void()> action) override {
+    m_closes.Add(m_request->connection_id(),
+                 [self = std::weak_ptr<Responder>(shared_from_this()), action = std::move(action)] {
+                   const auto responder = self.lock();
+                   if (responder && !responder->m_done) action();
+                 });
+  }
+
  private:
   restinio::request_handle_t m_request;
+  CloseWatch& m_closes;
+  const std::atomic<bool>& m_retiring;
   std::atomic<bool> m_done{false};
 };
 
 HttpRequest ToRequest(const restinio::request_t& request) {
   const auto& header = request.header();
-  return {std::string(header.method().c_str()), std::string(header.path()),
+  HttpHeaders headers;
+  header.for_each_field([&headers](const restinio::http_header_field_t& field) {
+    headers.emplace_back(field.name(), field.value());
+  });
+  return {std::string(header.method().c_str()),
+          std::string(header.path()),
           std::string(header.query()),
-          header.get_field_or(restinio::http_field::authorization, std::string()), request.body()};
+          header.get_field_or(restinio::http_field::authorization, std::string()),
+          request.body(),
+          std::move(headers)};
 }
 
 }  // namespace
@@ -66,6 +124,17 @@
   return {};
 }
 
+std::string HttpRequest::Header(const std::string& name) const {
+  const auto same = [](char a, char b) {
+    return std::tolower(static_cast<unsigned char>(a)) ==
+           std::tolower(static_cast<unsigned char>(b));
+  };
+  for (const auto& [field, value] : m_headers) {
+    if (std::equal(field.begin(), field.end(), name.begin(), name.end(), same)) return value;
+  }
+  return {};
+}
+
 class HttpServer::Impl {
  public:
   Impl(const Address& address, int threads, HttpHandler& handler)
@@ -78,14 +147,17 @@
                        .read_next_http_message_timelimit(kIdleLimit)
                        .write_http_response_timelimit(kWriteLimit)
                        .concurrent_accepts_count(4)
+                       .max_pipelined_requests(kPipelinedRequests)
+                       .connection_state_listener(m_closes)
                        .incoming_http_msg_limits(
                            restinio::incoming_http_msg_limits_t{}.max_body_size(kHardBodyLimit))
                        .socket_options_setter([](restinio::socket_options_t& options) {
                          options.set_option(asio::ip::tcp::no_delay(true));
                        })
-                       .request_handler([&handler](restinio::request_handle_t request) {
+                       .request_handler([this, &handler](restinio::request_handle_t request) {
                          const HttpRequest value = ToRequest(*request);
-                         handler.Handle(value, std::make_shared<Responder>(std::move(request)));
+                         handler.Handle(value, std::make_shared<Responder>(std::move(request),
+                                                                           *m_closes, m_retiring));
                          return restinio::request_accepted();
                        });
                  }) {}
@@ -104,6 +176,8 @@
     return std::nullopt;
   }
 
+  void Retire() { m_retiring = true; }
+
   void Stop() {
     if (m_threads.empty()) return;
     m_server.close_async([] {}, [](const std::exception_ptr& /*problem*/) {});
@@ -114,6 +188,8 @@
 
  private:
   const int m_threads_wanted;
+  const std::shared_ptr<CloseWatch> m_closes = std::make_shared<CloseWatch>();
+  std::atomic<bool> m_retiring{false};
   asio::io_context m_context;
   restinio::http_server_t<Traits> m_server;
   std::vector<std::thread> m_threads;
@@ -126,6 +202,8 @@
 
 std::optional<Error> HttpServer::Start() { return m_impl->Start(); }
 
+void HttpServer::Retire() { m_impl->Retire(); }
+
 void HttpServer::Stop() { m_impl->Stop(); }
 
 }  // namespace sapphireflow
--- a/src/transport/log4cplus_log.cc
+++ b/src/transport/log4cplus_log.cc
@@ -14,8 +14,9 @@
  public:
   explicit Impl(const std::string& file) {
     log4cplus::SharedAppenderPtr appender;
-    if (file.empty()) {
-      appender = new log4cplus::ConsoleAppender(/*logToStdErr=*/true, /*immediateFlush=*/true);
+    if (file.empty() || file == "-") {
+      appender = new log4cplus::ConsoleAppender(/*logToStdErr=*/file.empty(),
+                                                /*immediateFlush=*/true);
     } else {
       appender = new log4cplus::FileAppender(file, std::ios_base::app, /*immediateFlush=*/true);
     }
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -63,26 +63,40 @@
 
   void Send(const Address& to, const std::string& bytes) {
     connection_hdl handle;
+    bool is_new = false;
     {
       std::lock_guard<std::mutex> lock(m_mutex);
-      const auto [place, is_new] = m_links.try_emplace(to);
+      const auto [place, inserted] = m_links.try_emplace(to);
       Link& link = place->second;
-      if (!link.open) {
-        if (link.waiting.size() < kMaxWaiting) link.waiting.push_back(bytes);
-        if (!is_new) return;
-      } else {
+      is_new = inserted;
+      if (link.open) {
         handle = link.handle;
+      } else if (link.waiting.size() < kMaxWaiting) {
+        link.waiting.push_back(bytes);
       }
     }
-    if (handle.expired()) {
-      Connect(to);
-      return;
-    }
+    if (is_new) Connect(to);
+    if (!handle.lock()) return;
     websocketpp::lib::error_code failed;
     m_client.send(handle, bytes, websocketpp::frame::opcode::binary, failed);
     if (failed) Drop(to);
   }
 
+  void Reset(const Address& to) {
+    connection_hdl handle;
+    {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      const auto found = m_links.find(to);
+      if (found == m_links.end()) return;
+      handle = found->second.handle;
+    }
+    websocketpp::lib::error_code ignored;
+    if (!handle.expired()) {
+      m_client.close(handle, websocketpp::close::status::going_away, "", ignored);
+    }
+    Drop(to);
+  }
+
   void Stop() {
     if (m_threads.empty()) return;
     m_context.stop();
@@ -131,8 +145,12 @@
     }
     connection->append_header("Authorization", m_authorization);
     connection->set_open_handler([this, to](const connection_hdl& handle) { OnOpen(to, handle); });
-    connection->set_fail_handler([this, to](const connection_hdl& /*handle*/) { Drop(to); });
-    connection->set_close_handler([this, to](const connection_hdl& /*handle*/) { Drop(to); });
+    connection->set_fail_handler([this, to](const connection_hdl& handle) { DropIf(to, handle); });
+    connection->set_close_handler([this, to](const connection_hdl& handle) { DropIf(to, handle); });
+    {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      m_links[to].handle = connection->get_handle();
+    }
     m_client.connect(connection);
   }
 
@@ -140,17 +158,32 @@
     const auto connection = m_client.get_con_from_hdl(handle);
     TuneSocket(connection->get_raw_socket());
     std::lock_guard<std::mutex> lock(m_mutex);
-    Link& link = m_links[to];
+    const auto found = m_links.find(to);
+    if (found == m_links.end() || !SameHandle(found->second.handle, handle)) return;
+    Link& link = found->second;
     // sent under the lock, so that later messages do not overtake
     for (const std::string& bytes : link.waiting) {
       websocketpp::lib::error_code ignored;
       m_client.send(handle, bytes, websocketpp::frame::opcode::binary, ignored);
     }
     link.waiting.clear();
-    link.handle = handle;
     link.open = true;
   }
 
+  static bool SameHandle(const connection_hdl& a, const connection_hdl& b) {
+    return !a.owner_before(b) && !b.owner_before(a);
+  }
+
+  // a connection that was given up may end after its successor was opened
+  void DropIf(const Address& to, const connection_hdl& handle) {
+    {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      const auto found = m_links.find(to);
+      if (found == m_links.end() || !SameHandle(found->second.handle, handle)) return;
+    }
+    Drop(to);
+  }
+
   void Drop(const Address& to) {
     {
       std::lock_guard<std::mutex> lock(m_mutex);
@@ -180,6 +213,8 @@
 
 void PeerLinks::Send(const Address& to, const std::string& bytes) { m_impl->Send(to, bytes); }
 
+void PeerLinks::Reset(const Address& to) { m_impl->Reset(to); }
+
 void PeerLinks::Stop() { m_impl->Stop(); }
 
 }  // namespace sapphireflow
--- a/src/transport/pending_replies.cc
+++ b/src/transport/pending_replies.cc
@@ -23,6 +23,7 @@
     responder = std::move(node.mapped());
   }
   responder->Respond(response);
+  OnRemoved();
 }
 
 std::size_t PendingReplies::size() const {
@@ -34,4 +35,24 @@
   return size;
 }
 
+void PendingReplies::Forget(RequestToken token) {
+  Part& part = m_parts[token % kShards];
+  {
+    std::lock_guard<std::mutex> lock(part.mutex);
+    part.waiting.erase(token);
+  }
+  OnRemoved();
+}
+
+void PendingReplies::OnRemoved() {
+  // taken and released, so that a waiter is either before its check or asleep
+  { std::lock_guard<std::mutex> lock(m_empty_mutex); }
+  m_empty.notify_all();
+}
+
+bool PendingReplies::WaitUntilEmpty(Duration limit) {
+  std::unique_lock<std::mutex> lock(m_empty_mutex);
+  return m_empty.wait_for(lock, limit, [this] { return size() == 0; });
+}
+
 }  // namespace sapphireflow
