Judge runs by the worker's own word: adopt under a new token, no life ends by a refused connection

(1) After the cut healed the former owner still believed that it held the worker and called a run absent that another owner had started. (2) A cut that resets refuses new connections; the refusal was taken for the process's end, and the run was placed again. (3) A silent worker's lease was prolonged by each retry, so that it never lapsed for us. Ruled out: double submission by the client (one coordinator in every trace), late orders (none in force at 33 to 39 s). Change: an adoption that a held session does not know takes the worker anew under a higher token; the answer decides. Refused connections are told as not sent. A worker that does not answer is asked without prolonging its lease. Link losses are told once a tick. Tests in unit-owner_shard.cpp.

--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -87,7 +87,8 @@
 
   MemberChanges OnListed(const std::vector<MemberListing>& members, Instant now);
   MemberChanges OnBeat(const MemberBeat& beat, Instant now);
-  MemberChanges OnLinkDown(const Address& peer, Instant now);
+  /// @brief The loss is told by the next tick, however often it comes until then.
+  void OnLinkDown(const Address& peer, Instant now);
   MemberChanges OnTick(Instant now);
   void SetDraining();
   void SetWorkers(const WorkerListings& workers);
@@ -117,6 +118,8 @@
     Instant echoed_at{};
     Instant link_reset_at{};
     std::uint64_t own_link_losses = 0;
+    // a lost link of ours that was not told yet
+    bool link_lost = false;
     std::uint64_t its_link_losses = 0;
   };
   std::optional<NodeId> OwnerOfLocked(const WorkerListing& worker) const;
--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -84,7 +84,8 @@
   void OnStartReply(const StartReplied& reply, CallNumber newest_call, Instant now,
                     SessionNews& news);
   void OnRenewal(const RenewalReplied& reply, Instant now, SessionNews& news);
-  void Adopt(const AdoptRun& adoption, SessionNews& news);
+  /// @return false if the worker must be taken anew to tell how the run fares.
+  bool Adopt(const AdoptRun& adoption, Instant now, SessionNews& news);
   /// @brief Marks a run for stopping. @return whether the session knows the run.
   bool Cancel(const RunKey& run);
   void CancelAllOf(const NodeId& coordinator);
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -97,6 +97,12 @@
   SpeedEstimator m_speeds;
   std::map<WorkerId, Owned> m_workers;
   std::vector<WaitingRun> m_waiting;
+  // runs given up to other owners not long ago, for coordinators that missed the report
+  struct Released {
+    WorkerId worker;
+    Instant at;
+  };
+  std::map<RunKey, Released> m_released;
   // reports of the event under way, by coordinator
   std::map<NodeId, std::vector<RunReport>> m_reports;
   Instant m_now{};
--- a/include/sapphireflow/transport/http.h
+++ b/include/sapphireflow/transport/http.h
@@ -128,10 +128,9 @@
 
 /// @brief How a call ended.
 enum class CallEnd {
-  kResponded,   ///< a whole response came
-  kNoListener,  ///< the address refused the connection: no process listens there
-  kNotSent,     ///< no connection could be made: the other side certainly saw nothing
-  kLost,        ///< the request was sent, at least in part, and no whole response came
+  kResponded,  ///< a whole response came
+  kNotSent,    ///< no connection could be made: the other side certainly saw nothing
+  kLost,       ///< the request was sent, at least in part, and no whole response came
 };
 
 class HttpResult : public Comparable<HttpResult> {
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -89,19 +89,15 @@
   return changes;
 }
 
-MemberChanges MemberTable::OnLinkDown(const Address& peer, Instant now) {
-  MemberChanges changes;
+void MemberTable::OnLinkDown(const Address& peer, Instant now) {
   std::lock_guard<std::mutex> lock(m_mutex);
   const auto found = m_members.find(peer);
-  if (found == m_members.end()) return changes;
+  if (found == m_members.end()) return;
   Member& member = found->second;
   ++member.own_link_losses;
   // calls at once, so that a process that has ended shows
   member.next_beat = std::min(member.next_beat, now + kBeatInterval / 3);
-  if (member.in_touch && member.heard_sequence > 0) {
-    changes.emplace_back(MemberChange::Kind::kLinkLost, member.node, "own_link");
-  }
-  return changes;
+  member.link_lost = true;
 }
 
 void MemberTable::Lose(Member& member, const std::string& why, MemberChanges& changes) const {
@@ -114,6 +110,10 @@
   std::lock_guard<std::mutex> lock(m_mutex);
   for (auto item = m_members.begin(); item != m_members.end();) {
     Member& member = item->second;
+    if (member.in_touch && member.link_lost && member.heard_sequence > 0) {
+      changes.emplace_back(MemberChange::Kind::kLinkLost, member.node, "own_link");
+    }
+    member.link_lost = false;
     if (member.in_touch) {
       const bool heard = member.heard_sequence > 0;
       if (heard && now - member.heard_at > kSilence) Lose(member, "silent", changes);
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -12,6 +12,8 @@
 // a refused owner stays away for so long, doubling with each refusal in a row
 constexpr Duration kFirstRefusalPause = std::chrono::milliseconds(600);
 constexpr std::uint32_t kMaxRefusalDoublings = 4;
+// longer than any run goes on without its coordinator's word
+constexpr Duration kKeepReleased = std::chrono::seconds(5);
 constexpr std::uint32_t kUnlimitedSlots = 1000;
 
 std::string MillisText(Duration length) {
@@ -120,10 +122,15 @@
     }
     const bool known = std::any_of(m_workers.begin(), m_workers.end(),
                                    [&](auto& item) { return item.second.session.Cancel(run); });
-    if (!known) {
-      m_reports[event.coordinator()].emplace_back(run, RunNews::kEnded, RunEnd::kAbsent, "",
-                                                  "not_here");
+    if (known) continue;
+    const auto released = m_released.find(run);
+    if (released != m_released.end()) {
+      m_reports[event.coordinator()].emplace_back(run, RunNews::kReleased, RunEnd::kAbsent,
+                                                  released->second.worker, "new_owner");
+      continue;
     }
+    m_reports[event.coordinator()].emplace_back(run, RunNews::kEnded, RunEnd::kAbsent, "",
+                                                "not_here");
   }
 }
 
@@ -135,7 +142,8 @@
     return;
   }
   News news;
-  found->second.session.Adopt(event, news);
+  Session& session = found->second.session;
+  if (!session.Adopt(event, now, news)) session.Retake(m_tokens.Next(now), now);
   TakeIn(found->second, news, now, out);
 }
 
@@ -197,13 +205,20 @@
     }
   }
   DeclineOverdue(now);
+  for (auto item = m_released.begin(); item != m_released.end();) {
+    item = now - item->second.at > kKeepReleased ? m_released.erase(item) : std::next(item);
+  }
 }
 
 void OwnerShard::TakeIn(Owned& owned, const News& news, Instant now, OwnerEffects& out) {
   const WorkerId& id = owned.session.listing().id();
   const Address& address = owned.session.listing().address();
   for (const auto& addressed : news.reports) {
-    m_reports[addressed.coordinator()].push_back(addressed.report());
+    const RunReport& report = addressed.report();
+    if (report.news() == RunNews::kReleased) {
+      m_released.insert_or_assign(report.run(), Released{report.worker(), now});
+    }
+    m_reports[addressed.coordinator()].push_back(report);
   }
   for (const auto& finished : news.finished) {
     m_speeds.Learn(id, finished.declared(), finished.measured());
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -86,7 +86,6 @@
       ++news.failures;
       return;
     case CallOutcome::kOtherLife:
-    case CallOutcome::kNoProcess:
       EndLife(CallOutcomeWord(reply.outcome()), news);
       return;
     case CallOutcome::kFenced:
@@ -148,7 +147,6 @@
       if (reply.token() == m_token) Fence(news);
       return;
     case CallOutcome::kOtherLife:
-    case CallOutcome::kNoProcess:
       EndLife(CallOutcomeWord(reply.outcome()), news);
       m_renew_at = now + kPauseAfterEnd;
       return;
@@ -225,7 +223,7 @@
   }
 }
 
-void WorkerSession::Adopt(const AdoptRun& adoption, SessionNews& news) {
+bool WorkerSession::Adopt(const AdoptRun& adoption, Instant now, SessionNews& news) {
   const auto found = m_runs.find(adoption.run());
   if (found != m_runs.end()) {
     Run& record = found->second;
@@ -235,25 +233,27 @@
     if (record.phase == RunPhase::kRunning) {
       Tell(adoption.run(), record, RunNews::kStarted, RunEnd::kDone, "adopted", news);
     }
-    return;
-  }
-  Run unknown;
-  unknown.coordinator = adoption.coordinator();
-  if (m_phase == Phase::kTaking) {
-    // the answer to the renewal under way decides
-    unknown.phase = RunPhase::kStarting;
-    unknown.needs = adoption.needs();
-    unknown.estimate = adoption.estimate();
-    m_runs[adoption.run()] = std::move(unknown);
-    return;
+    return true;
   }
+  Run record;
+  record.coordinator = adoption.coordinator();
+  record.needs = adoption.needs();
+  record.estimate = adoption.estimate();
+  record.since = now;
   if (m_phase == Phase::kFenced) {
-    Tell(adoption.run(), unknown, RunNews::kReleased, RunEnd::kAbsent, "not_owner", news);
-    return;
+    Tell(adoption.run(), record, RunNews::kReleased, RunEnd::kAbsent, "not_owner", news);
+    return true;
   }
   const auto ended = m_unclaimed_ends.find(adoption.run());
-  const RunEnd end = ended == m_unclaimed_ends.end() ? RunEnd::kAbsent : ended->second;
-  Tell(adoption.run(), unknown, RunNews::kEnded, end, "adopted", news);
+  if (ended != m_unclaimed_ends.end() || m_phase == Phase::kOver) {
+    const RunEnd end = ended == m_unclaimed_ends.end() ? RunEnd::kAbsent : ended->second;
+    Tell(adoption.run(), record, RunNews::kEnded, end, "adopted", news);
+    return true;
+  }
+  // Another owner may have started it since our last answer from the worker. An answer under a
+  // token above all that it used decides; until then the run counts as one that may start.
+  m_runs[adoption.run()] = std::move(record);
+  return m_phase == Phase::kTaking;
 }
 
 bool WorkerSession::Cancel(const RunKey& run) {
@@ -339,7 +339,8 @@
   const bool adopted = std::any_of(m_runs.begin(), m_runs.end(), [](const auto& item) {
     return item.second.coordinator.has_value() && !item.second.stop_wanted;
   });
-  const bool prolong = adopted && m_phase == Phase::kHeld;
+  // a worker that does not answer is only asked, so that the lease of its runs has an end
+  const bool prolong = adopted && m_phase == Phase::kHeld && !m_suspect;
   if (prolong) m_lease_sent = now;
   const Duration wait = m_phase == Phase::kHeld && !m_suspect ? kRenewalWait : Duration::zero();
   return RenewLease(MakeCall(call, prolong ? LeaseUntil(now) : 0), m_acknowledged, wait,
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -111,7 +111,7 @@
 }
 
 void DispatchNode::Take(const LinkDown& event, Pass& pass) {
-  Follow(m_members.OnLinkDown(event.peer(), pass.now), pass);
+  m_members.OnLinkDown(event.peer(), pass.now);
 }
 
 void DispatchNode::Take(const StartReplied& event, Pass& pass) {
--- a/src/transport/effect_runner.cc
+++ b/src/transport/effect_runner.cc
@@ -72,7 +72,7 @@
 };
 
 AttemptReport ToReport(const AttemptId& attempt, const HttpResult& result) {
-  if (result.end() == CallEnd::kNotSent || result.end() == CallEnd::kNoListener) {
+  if (result.end() == CallEnd::kNotSent) {
     return {attempt, AttemptEnd::kNotSent, result.body()};
   }
   if (result.end() == CallEnd::kLost) return {attempt, AttemptEnd::kLost, result.body()};
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -4,7 +4,6 @@
 #include <curl/curl.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <future>
 #include <mutex>
 #include <string>
@@ -145,11 +144,6 @@
       curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
       return {CallEnd::kResponded, static_cast<int>(status), std::move(transfer->received)};
     }
-    long os_error = 0;
-    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_error);
-    if (code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED) {
-      return {CallEnd::kNoListener, 0, curl_easy_strerror(code)};
-    }
     long sent = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
     const bool nothing_sent = sent == 0 && transfer->sent == 0;
--- /dev/null
+++ b/tests/unit/unit-owner_shard.cpp
@@ -0,0 +1,296 @@
+// The owner of workers: exact room, fencing, and what is known of a run.
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sapphireflow/ownership/owner_shard.h"
+
+using namespace sapphireflow;
+
+namespace {
+
+const NodeId kSelf(Address(1, 1), 1);
+const NodeId kCoordinator(Address(2, 1), 1);
+const NodeId kOtherCoordinator(Address(3, 1), 1);
+const std::string kService = "workshop";
+const Resources kTaskNeeds(6000, 64, 0);
+constexpr std::int64_t kWorkerClock = 500000;
+
+Duration Millis(int millis) { return std::chrono::milliseconds(millis); }
+
+RunKey Run(std::uint32_t index, std::uint32_t number = 1) {
+  return {TaskKey(7, 0, 0, index), number};
+}
+
+WorkerListing Listing(const std::string& id, std::uint32_t ip, bool draining = false,
+                      std::int64_t born_ms = 1) {
+  return {id,      Address(ip, 80), kService, "celaya", {"a", "r1"}, Resources(16000, 32768, 0),
+          born_ms, draining};
+}
+
+// an owner shard with a clock that is driven by hand, and its effects sorted by kind
+class Owner {
+ public:
+  Owner()
+      : m_board(kSelf, "celaya", MakeOwnerChoice("earliest-end")),
+        m_tokens(kSelf),
+        m_shard(
+            kSelf, LeaseLimits(Millis(1000), Millis(50)),
+            OwnerPolicies(MakeStartOrder("least-slack"), std::make_unique<EarliestEndChoice>(2.0),
+                          MakeOutlierDetector("trusting")),
+            m_tokens, m_next_call, m_board) {}
+
+  void Feed(OwnerEvent event) {
+    for (OwnerEffect& effect : m_shard.Apply(OwnerInput(now, std::move(event)))) {
+      if (auto* start = std::get_if<StartRun>(&effect)) starts.push_back(*start);
+      if (auto* stop = std::get_if<StopRun>(&effect)) stops.push_back(*stop);
+      if (auto* renewal = std::get_if<RenewLease>(&effect)) renewals.push_back(*renewal);
+      if (auto* reports_effect = std::get_if<ReportRuns>(&effect)) {
+        for (const RunReport& report : reports_effect->reports()) {
+          reports.push_back(report);
+          told.push_back(reports_effect->coordinator());
+        }
+      }
+    }
+  }
+
+  // answers the newest renewal of a worker
+  void AnswerRenewal(const std::vector<RunKey>& running, const std::vector<EndedRun>& ended,
+                     const std::string& worker = "w1") {
+    for (auto renewal = renewals.rbegin(); renewal != renewals.rend(); ++renewal) {
+      if (renewal->call().worker() != worker) continue;
+      const RenewLease order = *renewal;
+      Feed(RenewalReplied(worker, order.call().token(), order.call().number(), CallOutcome::kOk,
+                          WorkerReport(kWorkerClock, 1, running, ended)));
+      return;
+    }
+    FAIL("no renewal was sent to " << worker);
+  }
+
+  void AnswerStart(const StartRun& start, CallOutcome outcome) {
+    Feed(StartReplied(start.call().worker(), start.run(), start.call().token(),
+                      start.call().number(), outcome, kWorkerClock));
+  }
+
+  void Place(std::vector<std::uint32_t> indices, const NodeId& coordinator = kCoordinator) {
+    std::vector<RunOrder> orders;
+    for (const std::uint32_t index : indices) {
+      orders.emplace_back(Run(index), kTaskNeeds, Millis(100), "", "", 0, std::vector<WorkerId>());
+    }
+    Feed(PlaceRuns(coordinator, kService, std::make_shared<const std::string>("payload"),
+                   Millis(300), Millis(1500), 0, orders));
+  }
+
+  void Hold(const WorkerListings& workers) {
+    Feed(OwnWorkers(workers));
+    for (const WorkerListing& worker : workers) AnswerRenewal({}, {}, worker.id());
+  }
+
+  AdoptRun Adoption(std::uint32_t index) const {
+    return {kCoordinator, kService, "w1", Run(index), kTaskNeeds, Millis(100)};
+  }
+
+  std::optional<RunReport> ReportOf(const RunKey& run) const {
+    for (auto report = reports.rbegin(); report != reports.rend(); ++report) {
+      if (report->run() == run) return *report;
+    }
+    return std::nullopt;
+  }
+
+  Instant now = FromUnixMillis(1700000000000);
+  std::vector<StartRun> starts;
+  std::vector<StopRun> stops;
+  std::vector<RenewLease> renewals;
+  std::vector<RunReport> reports;
+  std::vector<NodeId> told;
+
+ private:
+  RoomBoard m_board;
+  FencingTokens m_tokens;
+  std::atomic<CallNumber> m_next_call{1};
+  OwnerShard m_shard;
+};
+
+}  // namespace
+
+TEST_CASE("a worker is never given more than it holds, also while starts are unanswered") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0, 1, 2, 3});
+  REQUIRE(owner.starts.size() == 2);  // 16 cores, 6 a task
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  CHECK(owner.starts.size() == 2);
+  owner.AnswerRenewal({owner.starts[1].run()}, {EndedRun(1, owner.starts[0].run(), RunEnd::kDone)});
+  CHECK(owner.starts.size() == 3);
+}
+
+TEST_CASE("an unanswered start holds its room until an answer under a higher token") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0, 1, 2});
+  const StartRun lost = owner.starts[0];
+  const FencingToken before = lost.call().token();
+  owner.AnswerStart(owner.starts[1], CallOutcome::kOk);
+  owner.AnswerStart(lost, CallOutcome::kUnknown);
+  CHECK(owner.renewals.back().call().token() > before);
+  CHECK(owner.starts.size() == 2);
+  CHECK_FALSE(owner.ReportOf(lost.run()));
+  owner.AnswerRenewal({owner.starts[1].run()}, {});
+  REQUIRE(owner.ReportOf(lost.run()));
+  CHECK(owner.ReportOf(lost.run())->news() == RunNews::kDeclined);
+  CHECK(owner.starts.size() == 3);
+}
+
+TEST_CASE("an unanswered start that the worker lists goes on") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0});
+  owner.AnswerStart(owner.starts[0], CallOutcome::kUnknown);
+  owner.AnswerRenewal({Run(0)}, {});
+  REQUIRE(owner.ReportOf(Run(0)));
+  CHECK(owner.ReportOf(Run(0))->news() == RunNews::kStarted);
+}
+
+// Found on the users' bench: after a cut healed, the worker's former owner still believed that it
+// held the worker, and called a run absent that another owner had started.
+TEST_CASE("an owner does not call a run absent before an answer under a new token") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  const FencingToken before = owner.renewals.back().call().token();
+  owner.Feed(owner.Adoption(0));
+  CHECK_FALSE(owner.ReportOf(Run(0)));
+  CHECK(owner.renewals.back().call().token() > before);
+  SECTION("the run goes on") {
+    owner.AnswerRenewal({Run(0)}, {});
+    REQUIRE(owner.ReportOf(Run(0)));
+    CHECK(owner.ReportOf(Run(0))->news() == RunNews::kStarted);
+  }
+  SECTION("the run has ended") {
+    owner.AnswerRenewal({}, {EndedRun(1, Run(0), RunEnd::kDone)});
+    REQUIRE(owner.ReportOf(Run(0)));
+    CHECK(owner.ReportOf(Run(0))->end() == RunEnd::kDone);
+  }
+  SECTION("the run was never started") {
+    owner.AnswerRenewal({}, {});
+    REQUIRE(owner.ReportOf(Run(0)));
+    CHECK(owner.ReportOf(Run(0))->news() == RunNews::kDeclined);
+  }
+}
+
+TEST_CASE("a new owner stops what nobody adopts, and does not prolong its lease") {
+  Owner owner;
+  owner.Feed(OwnWorkers({Listing("w1", 10)}));
+  CHECK(owner.renewals.back().call().lease_until_ms() == 0);
+  owner.AnswerRenewal({Run(0)}, {});
+  CHECK(owner.renewals.back().call().lease_until_ms() == 0);
+  owner.Place({1});
+  CHECK(owner.starts.empty());
+  owner.now += Millis(350);
+  owner.Feed(OwnerTick());
+  REQUIRE(owner.stops.size() == 1);
+  CHECK(owner.stops[0].run() == Run(0));
+  owner.AnswerRenewal({}, {EndedRun(1, Run(0), RunEnd::kStopped)});
+  CHECK(owner.starts.size() == 1);
+}
+
+TEST_CASE("a fenced owner gives its runs up and stays away for a while") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0});
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  const RenewLease renewal = owner.renewals.back();
+  owner.Feed(RenewalReplied("w1", renewal.call().token(), renewal.call().number(),
+                            CallOutcome::kFenced, std::nullopt));
+  REQUIRE(owner.ReportOf(Run(0)));
+  CHECK(owner.ReportOf(Run(0))->news() == RunNews::kReleased);
+  const std::size_t sent = owner.renewals.size();
+  owner.now += Millis(300);
+  owner.Feed(OwnerTick());
+  CHECK(owner.renewals.size() == sent);
+  owner.now += Millis(400);
+  owner.Feed(OwnerTick());
+  REQUIRE(owner.renewals.size() == sent + 1);
+  CHECK(owner.renewals.back().call().token() > renewal.call().token());
+}
+
+TEST_CASE("a draining worker gets no new run") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Feed(OwnWorkers({Listing("w1", 10, true)}));
+  owner.Place({0});
+  CHECK(owner.starts.empty());
+}
+
+TEST_CASE("a worker that starts again under its id has lost its runs") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0});
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.Feed(OwnWorkers({Listing("w1", 10, false, 2)}));
+  REQUIRE(owner.ReportOf(Run(0)));
+  CHECK(owner.ReportOf(Run(0))->news() == RunNews::kEnded);
+  CHECK(owner.ReportOf(Run(0))->end() == RunEnd::kAbsent);
+}
+
+TEST_CASE("a coordinator that is lost loses its waiting runs, and its running ones are stopped") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0, 1, 2}, kOtherCoordinator);
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.AnswerStart(owner.starts[1], CallOutcome::kOk);
+  owner.Feed(CoordinatorLost(kOtherCoordinator));
+  CHECK(owner.stops.size() == 2);
+  owner.AnswerRenewal(
+      {}, {EndedRun(1, Run(0), RunEnd::kStopped), EndedRun(2, Run(1), RunEnd::kStopped)});
+  CHECK(owner.starts.size() == 2);
+}
+
+TEST_CASE("a cancelled run that waits is declined, one that nobody knows is absent") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0, 1, 2});
+  owner.Feed(CancelRuns(kCoordinator, kService, {Run(2), Run(9)}));
+  REQUIRE(owner.ReportOf(Run(2)));
+  CHECK(owner.ReportOf(Run(2))->news() == RunNews::kDeclined);
+  REQUIRE(owner.ReportOf(Run(9)));
+  CHECK(owner.ReportOf(Run(9))->news() == RunNews::kEnded);
+}
+
+TEST_CASE("a cancelled run that went to another owner is told as released, not as absent") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0});
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.Feed(OwnWorkers({}));
+  owner.reports.clear();
+  owner.Feed(CancelRuns(kCoordinator, kService, {Run(0)}));
+  REQUIRE(owner.ReportOf(Run(0)));
+  CHECK(owner.ReportOf(Run(0))->news() == RunNews::kReleased);
+  CHECK(owner.ReportOf(Run(0))->worker() == "w1");
+}
+
+// Found on the users' bench: a cut that resets connections refuses new ones too, while the worker
+// behind it runs on.
+TEST_CASE("runs of a worker that cannot be reached end when its lease has lapsed, not before") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0});
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.reports.clear();
+  for (int i = 0; i < 10; ++i) {
+    const RenewLease renewal = owner.renewals.back();
+    owner.Feed(RenewalReplied("w1", renewal.call().token(), renewal.call().number(),
+                              i % 2 == 0 ? CallOutcome::kNotSent : CallOutcome::kUnknown,
+                              std::nullopt));
+    owner.now += Millis(104);
+    owner.Feed(OwnerTick());
+    CHECK(owner.renewals.back().call().lease_until_ms() == 0);
+    CHECK_FALSE(owner.ReportOf(Run(0)));
+  }
+  owner.now += Millis(20);
+  owner.Feed(OwnerTick());
+  REQUIRE(owner.ReportOf(Run(0)));
+  CHECK(owner.ReportOf(Run(0))->end() == RunEnd::kLapsed);
+}
