Stop in time, and start with the members known

After a restart of all, workers were assigned before the members were listed, so that owners of other zones took them and fenced the right ones for 0.6 s. Change: from 2.5 s after the order to stop new jobs are refused as not run; workers are read after the members; a fenced owner tries again after 150 ms, doubling.

--- a/include/sapphireflow/routing/dispatch_event.h
+++ b/include/sapphireflow/routing/dispatch_event.h
@@ -58,9 +58,15 @@
   auto Fields() const { return std::tuple<>(); }
 };
 
+/// @brief Later in a planned stop: no new job is taken, so that all can be answered in time.
+class IntakeClosed : public Comparable<IntakeClosed> {
+ public:
+  auto Fields() const { return std::tuple<>(); }
+};
+
 using DispatchEvent = std::variant<SubmitWork, CallerGone, AskWork, WorkersListed, MembersListed,
                                    ConfigurationCopy, DispatchMessage, LinkDown, StartReplied,
-                                   RenewalReplied, DispatchTick, StopPlanned>;
+                                   RenewalReplied, DispatchTick, StopPlanned, IntakeClosed>;
 
 class DispatchInput : public Comparable<DispatchInput> {
  public:
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -70,6 +70,7 @@
   void Take(const RenewalReplied& event, Pass& pass);
   void Take(const DispatchTick& event, Pass& pass);
   void Take(const StopPlanned& event, Pass& pass);
+  void Take(const IntakeClosed& event, Pass& pass);
 
   void Receive(const PlaceRuns& message, Pass& pass);
   void Receive(const CancelRuns& message, Pass& pass);
@@ -98,6 +99,7 @@
   FencingTokens m_tokens;
   std::atomic<CallNumber> m_next_call{1};
   std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_intake_closed{false};
   RoomBoard m_rooms;
   MemberTable m_members;
   ConfigurationKeeper m_configuration;
--- a/include/sapphireflow/transport/directory_watch.h
+++ b/include/sapphireflow/transport/directory_watch.h
@@ -45,6 +45,7 @@
   EventLog& m_log;
   std::atomic<bool> m_store_lost{false};
   std::atomic<bool> m_leaving{false};
+  std::atomic<bool> m_members_read{false};
   std::atomic<std::uint64_t> m_lease{0};
   std::mutex m_mutex;
   // guarded by m_mutex
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -10,7 +10,7 @@
 // a run that waits longer goes back to its coordinator if another owner has room
 constexpr Duration kMoveAfter = std::chrono::milliseconds(25);
 // a refused owner stays away for so long, doubling with each refusal in a row
-constexpr Duration kFirstRefusalPause = std::chrono::milliseconds(600);
+constexpr Duration kFirstRefusalPause = std::chrono::milliseconds(150);
 constexpr std::uint32_t kMaxRefusalDoublings = 4;
 // longer than any run goes on without its coordinator's word
 constexpr Duration kKeepReleased = std::chrono::seconds(5);
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -15,6 +15,9 @@
 // that it has lost its coordinator too
 constexpr Duration kSilentOwnerTime = std::chrono::milliseconds(650);
 
+// a caller that this node refuses can go to another one at once
+constexpr Duration kElsewhereAfter = std::chrono::milliseconds(100);
+
 OwnerPolicies MakePolicies(const DispatchSettings& settings) {
   return {MakeStartOrder(settings.start_order()),
           std::make_unique<EarliestEndChoice>(settings.remote_factor()),
@@ -64,6 +67,12 @@
 }
 
 void DispatchNode::Take(const SubmitWork& event, Pass& pass) {
+  if (m_intake_closed) {
+    pass.out.emplace_back(AnswerWork(event.token(), WorkVerdict::kRefused,
+                                     Error(ErrorId::kDraining, "this entry VM is stopping"),
+                                     kElsewhereAfter, 0));
+    return;
+  }
   pass.work.emplace_back(ForJobs{JobShardOf(event.order()->key()), event});
 }
 
@@ -139,6 +148,8 @@
   SendBeats(pass);
 }
 
+void DispatchNode::Take(const IntakeClosed& /*event*/, Pass& /*pass*/) { m_intake_closed = true; }
+
 void DispatchNode::Receive(const PlaceRuns& message, Pass& pass) {
   pass.work.emplace_back(ForOwners{OwnerShardOf(message.service()), message});
 }
--- a/src/transport/directory_watch.cc
+++ b/src/transport/directory_watch.cc
@@ -31,7 +31,6 @@
   Register();
   ReadConfiguration();
   ReadMembers();
-  ReadWorkers();
 }
 
 void DirectoryWatch::Leave() {
@@ -88,6 +87,8 @@
       return;
     }
     m_events.Accept(MembersListed(reading->value()));
+    // only who knows the others can tell which workers are its own
+    if (!m_members_read.exchange(true)) ReadWorkers();
     WatchMembers(reading->revision());
   });
 }
--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -75,6 +75,7 @@
     m_callers->Retire();
     const Duration limit = m_addresses.stop_grace() - kStopReserve;
     Pause(std::min(kBalancerNotice, limit));
+    m_runner.Accept(IntakeClosed());
     const bool empty = m_replies.WaitUntilEmpty(limit - (m_clock.Now() - began));
     Pause(kFlushTime);
     Stop();
