Notice lost answers of workers sooner

Change: renewals wait 150 ms (400) with 100 ms of slack (250), starts 120 ms (250); after a lost answer 60, 50 and 60 ms for 3 s; the first retry is immediate.

--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -130,6 +130,8 @@
   void TakeEnds(const WorkerReport& report, Instant now, SessionNews& news);
   void CompareRunning(const RenewalReplied& reply, Instant now, SessionNews& news);
   bool NewerRenewalUnderWay(CallNumber call) const;
+  // whether an answer of the worker was lost not long ago
+  bool Troubled(Instant now) const;
   std::int64_t LeaseUntil(Instant now) const;
   WorkerCall MakeCall(CallNumber call, std::int64_t lease_until_ms) const;
 
@@ -148,6 +150,7 @@
   Instant m_renew_at{};
   std::uint32_t m_missed = 0;
   bool m_suspect = false;
+  Instant m_trouble_at{};
   // the worker's clock at one of our points in time; not set before the first answer
   std::optional<std::int64_t> m_clock_ms;
   Instant m_clock_read_at{};
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -8,11 +8,16 @@
 namespace sapphireflow::detail {
 namespace {
 
-// two renewals fit into a lease of one second, with time for one to be lost
-constexpr Duration kRenewalWait = std::chrono::milliseconds(400);
+// a lost answer hides the ends on a worker for the wait and the slack; a lease has room for three
+constexpr Duration kRenewalWait = std::chrono::milliseconds(150);
 // beyond the wait: a worker answers in a millisecond, and a throttled core stalls for up to 100 ms
-constexpr Duration kRenewalSlack = std::chrono::milliseconds(250);
-constexpr Duration kStartTimeout = std::chrono::milliseconds(250);
+constexpr Duration kRenewalSlack = std::chrono::milliseconds(100);
+constexpr Duration kStartTimeout = std::chrono::milliseconds(120);
+// for so long after a lost answer the next one is expected to be lost too, and shorter limits hold
+constexpr Duration kTroubledTime = std::chrono::seconds(3);
+constexpr Duration kTroubledWait = std::chrono::milliseconds(60);
+constexpr Duration kTroubledSlack = std::chrono::milliseconds(50);
+constexpr Duration kTroubledStartTimeout = std::chrono::milliseconds(60);
 constexpr Duration kStopTimeout = std::chrono::milliseconds(250);
 constexpr Duration kStopAgain = std::chrono::milliseconds(200);
 // how long coordinators have to claim what a new owner finds on a worker
@@ -21,11 +26,16 @@
 constexpr Duration kLongestPause = std::chrono::milliseconds(1000);
 constexpr Duration kPauseAfterEnd = std::chrono::milliseconds(1000);
 constexpr std::size_t kMaxUnclaimedEnds = 2000;
+constexpr std::uint32_t kMaxDoublings = 5;
 // declared run times are off by a half on average; a quarter of the runs' distribution in
 // logarithms lies beyond twice the time, next to none beyond this
 constexpr double kStragglerFactor = 4.0;
 constexpr Duration kStragglerFloor = std::chrono::milliseconds(250);
 
+Duration PauseAfter(std::uint32_t missed) {
+  return kFirstPause * (1U << std::min(missed, kMaxDoublings));
+}
+
 }  // namespace
 
 WorkerSession::WorkerSession(WorkerListing listing, FencingToken token, const LeaseLimits& limits,
@@ -63,7 +73,8 @@
   record.since = now;
   m_runs[waiting.order().run()] = std::move(record);
   m_lease_sent = now;
-  return {MakeCall(call, LeaseUntil(now)), waiting.order().run(), waiting.payload(), kStartTimeout};
+  return {MakeCall(call, LeaseUntil(now)), waiting.order().run(), waiting.payload(),
+          Troubled(now) ? kTroubledStartTimeout : kStartTimeout};
 }
 
 void WorkerSession::OnStartReply(const StartReplied& reply, CallNumber newest_call, Instant now,
@@ -83,6 +94,7 @@
     case CallOutcome::kUnknown:
       // the run keeps its room until a renewal under a higher token shows what became of it
       m_suspect = true;
+      m_trouble_at = now;
       ++news.failures;
       return;
     case CallOutcome::kOtherLife:
@@ -154,10 +166,14 @@
       ++m_missed;
       m_suspect = true;
       m_renew_now = !NewerRenewalUnderWay(reply.call());
-      m_renew_at = now + std::min(kLongestPause, kFirstPause * (1U << std::min(m_missed, 5U)));
+      m_trouble_at = now;
+      // once at once: a single answer may be lost
+      m_renew_at = m_missed == 1 ? now : now + std::min(kLongestPause, PauseAfter(m_missed));
   }
 }
 
+bool WorkerSession::Troubled(Instant now) const { return now - m_trouble_at < kTroubledTime; }
+
 bool WorkerSession::NewerRenewalUnderWay(CallNumber call) const {
   return !m_renewals.empty() && m_renewals.rbegin()->first > call;
 }
@@ -342,9 +358,11 @@
   // a worker that does not answer is only asked, so that the lease of its runs has an end
   const bool prolong = adopted && m_phase == Phase::kHeld && !m_suspect;
   if (prolong) m_lease_sent = now;
-  const Duration wait = m_phase == Phase::kHeld && !m_suspect ? kRenewalWait : Duration::zero();
+  const bool troubled = Troubled(now);
+  const Duration usual_wait = troubled ? kTroubledWait : kRenewalWait;
+  const Duration wait = m_phase == Phase::kHeld && !m_suspect ? usual_wait : Duration::zero();
   return RenewLease(MakeCall(call, prolong ? LeaseUntil(now) : 0), m_acknowledged, wait,
-                    wait + kRenewalSlack);
+                    wait + (troubled ? kTroubledSlack : kRenewalSlack));
 }
 
 std::vector<StopRun> WorkerSession::DueStops(std::atomic<CallNumber>& next_call, Instant now) {
