Leave the workers of others alone when cut off; count one-way links as out of touch

Change: a member whose beats are not echoed for 600 ms is out of touch; a VM without the store and most members in touch keeps only what it owned and does not retake what it is fenced from.

--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -90,6 +90,8 @@
   /// @brief The loss is told by the next tick, however often it comes until then.
   void OnLinkDown(const Address& peer, Instant now);
   MemberChanges OnTick(Instant now);
+  /// @brief Whether the platform's store answers this VM.
+  void SetStoreInTouch(bool in_touch);
   void SetDraining();
   void SetWorkers(const WorkerListings& workers);
 
@@ -98,6 +100,9 @@
   /// @return the workers that this VM commands. Complexity: workers times members of a zone.
   WorkerListings OwnWorkers() const;
   std::optional<NodeId> OwnerOf(const WorkerId& worker) const override;
+  /// @brief Whether this VM is probably the one that is cut off: the store does not answer, and
+  /// most of the members that it knows are out of touch.
+  bool Isolated() const;
   /// @return members in touch, without this VM.
   std::vector<NodeId> InTouch() const;
 
@@ -122,6 +127,7 @@
     bool link_lost = false;
     std::uint64_t its_link_losses = 0;
   };
+  bool IsolatedLocked() const;
   std::optional<NodeId> OwnerOfLocked(const WorkerListing& worker) const;
   void Lose(Member& member, const std::string& why, MemberChanges& changes) const;
 
@@ -132,6 +138,7 @@
   std::map<Address, Member> m_members;
   std::map<WorkerId, WorkerListing> m_workers;
   bool m_draining = false;
+  bool m_store_in_touch = true;
 };
 
 }  // namespace sapphireflow
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -97,6 +97,7 @@
   SpeedEstimator m_speeds;
   std::map<WorkerId, Owned> m_workers;
   std::vector<WaitingRun> m_waiting;
+  bool m_may_retake = true;
   // runs given up to other owners not long ago, for coordinators that missed the report
   struct Released {
     WorkerId worker;
--- a/include/sapphireflow/ownership/ownership_event.h
+++ b/include/sapphireflow/ownership/ownership_event.h
@@ -23,12 +23,16 @@
 /// @brief The workers that the shard owns from now on.
 class OwnWorkers : public Comparable<OwnWorkers> {
  public:
-  explicit OwnWorkers(WorkerListings workers) : m_workers(std::move(workers)) {}
+  OwnWorkers(WorkerListings workers, bool may_retake)
+      : m_workers(std::move(workers)), m_may_retake(may_retake) {}
   const WorkerListings& workers() const { return m_workers; }
-  auto Fields() const { return std::tie(m_workers); }
+  /// @brief False for a VM that is cut off: who fenced it probably does so with good reason.
+  bool may_retake() const { return m_may_retake; }
+  auto Fields() const { return std::tie(m_workers, m_may_retake); }
 
  private:
   WorkerListings m_workers;
+  bool m_may_retake;
 };
 
 /// @brief A coordinator is gone or out of touch: nobody waits for its runs.
--- a/include/sapphireflow/routing/dispatch_event.h
+++ b/include/sapphireflow/routing/dispatch_event.h
@@ -35,6 +35,17 @@
   std::vector<MemberListing> m_members;
 };
 
+/// @brief The platform's store stopped answering, or answers again.
+class StoreContact : public Comparable<StoreContact> {
+ public:
+  explicit StoreContact(bool in_touch) : m_in_touch(in_touch) {}
+  bool in_touch() const { return m_in_touch; }
+  auto Fields() const { return std::tie(m_in_touch); }
+
+ private:
+  bool m_in_touch;
+};
+
 /// @brief A link to a member was lost, with what was on its way.
 class LinkDown : public Comparable<LinkDown> {
  public:
@@ -64,9 +75,10 @@
   auto Fields() const { return std::tuple<>(); }
 };
 
-using DispatchEvent = std::variant<SubmitWork, CallerGone, AskWork, WorkersListed, MembersListed,
-                                   ConfigurationCopy, DispatchMessage, LinkDown, StartReplied,
-                                   RenewalReplied, DispatchTick, StopPlanned, IntakeClosed>;
+using DispatchEvent =
+    std::variant<SubmitWork, CallerGone, AskWork, WorkersListed, MembersListed, ConfigurationCopy,
+                 DispatchMessage, StoreContact, LinkDown, StartReplied, RenewalReplied,
+                 DispatchTick, StopPlanned, IntakeClosed>;
 
 class DispatchInput : public Comparable<DispatchInput> {
  public:
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -62,11 +62,9 @@
     member = Member();
     member.listed = listed;
   }
-  const bool joined = !member.in_touch;
   const bool first = member.heard_sequence == 0;
   member.node = beat.from();
   member.zone = beat.zone();
-  member.in_touch = true;
   if (first) {
     member.its_link_losses = beat.link_losses();
     member.echoed_at = now;
@@ -77,7 +75,9 @@
     member.echoed = beat.echo();
     member.echoed_at = now;
   }
-  if (joined || is_new) changes.emplace_back(MemberChange::Kind::kJoined, member.node, "heard");
+  const bool joined = !member.in_touch && now - member.echoed_at <= kSilence;
+  if (joined) member.in_touch = true;
+  if (joined) changes.emplace_back(MemberChange::Kind::kJoined, member.node, "heard");
   if (beat.draining() && !member.draining) {
     member.draining = true;
     changes.emplace_back(MemberChange::Kind::kDraining, member.node, "draining");
@@ -116,7 +116,12 @@
     member.link_lost = false;
     if (member.in_touch) {
       const bool heard = member.heard_sequence > 0;
-      if (heard && now - member.heard_at > kSilence) Lose(member, "silent", changes);
+      if (heard && now - member.heard_at > kSilence) {
+        Lose(member, "silent", changes);
+      } else if (heard && now - member.echoed_at > kSilence) {
+        // a link that works one way only is of no use
+        Lose(member, "deaf", changes);
+      }
       if (!heard && now > member.trusted_until) Lose(member, "never_heard", changes);
     } else if (!member.listed && now - member.heard_at > kForgetAfter) {
       item = m_members.erase(item);
@@ -155,6 +160,23 @@
   return beats;
 }
 
+void MemberTable::SetStoreInTouch(bool in_touch) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_store_in_touch = in_touch;
+}
+
+bool MemberTable::Isolated() const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return IsolatedLocked();
+}
+
+bool MemberTable::IsolatedLocked() const {
+  if (m_store_in_touch) return false;
+  const auto in_touch = std::count_if(m_members.begin(), m_members.end(),
+                                      [](const auto& item) { return item.second.in_touch; });
+  return 2 * in_touch < static_cast<std::ptrdiff_t>(m_members.size());
+}
+
 std::optional<NodeId> MemberTable::OwnerOfLocked(const WorkerListing& worker) const {
   std::vector<Address> in_zone;
   std::vector<Address> everywhere;
@@ -162,9 +184,12 @@
     everywhere.push_back(address);
     if (zone == worker.zone()) in_zone.push_back(address);
   };
+  const bool isolated = IsolatedLocked();
   if (!m_draining) consider(m_self.address(), m_zone);
   for (const auto& [address, member] : m_members) {
-    if (member.in_touch && !member.draining) consider(address, member.zone);
+    // who is cut off leaves the workers of the others alone, since they may well serve on
+    const bool counts = member.in_touch || isolated;
+    if (counts && !member.draining) consider(address, member.zone);
   }
   const auto& candidates = in_zone.empty() ? everywhere : in_zone;
   if (candidates.empty()) return std::nullopt;
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -56,6 +56,7 @@
 }
 
 void OwnerShard::On(const OwnWorkers& event, Instant now, OwnerEffects& out) {
+  m_may_retake = event.may_retake();
   std::map<WorkerId, const WorkerListing*> wanted;
   for (const WorkerListing& listing : event.workers()) wanted[listing.id()] = &listing;
   for (auto item = m_workers.begin(); item != m_workers.end();) {
@@ -200,7 +201,7 @@
                                 {{"worker", id}, {"runs", std::to_string(stragglers)}}));
     }
     TakeIn(owned, news, now, out);
-    if (session.phase() == Session::Phase::kFenced && now >= owned.retry_at) {
+    if (session.phase() == Session::Phase::kFenced && m_may_retake && now >= owned.retry_at) {
       session.Retake(m_tokens.Next(now), now);
     }
   }
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -105,6 +105,11 @@
   Follow(m_members.OnListed(event.members(), pass.now), pass);
 }
 
+void DispatchNode::Take(const StoreContact& event, Pass& pass) {
+  m_members.SetStoreInTouch(event.in_touch());
+  AssignWorkers(pass);
+}
+
 void DispatchNode::Take(const ConfigurationCopy& event, Pass& pass) {
   const std::uint64_t before = m_configuration.version();
   if (!m_configuration.Take(event.configuration())) return;
@@ -228,12 +233,13 @@
 
 void DispatchNode::AssignWorkers(Pass& pass) {
   std::lock_guard<std::mutex> lock(m_assign_mutex);
+  const bool isolated = m_members.Isolated();
   std::vector<WorkerListings> by_shard(m_owners.size());
   for (const WorkerListing& worker : m_members.OwnWorkers()) {
     by_shard[OwnerShardOf(worker.service())].push_back(worker);
   }
   for (std::size_t i = 0; i < by_shard.size(); ++i) {
-    RunOwners(ForOwners{i, OwnWorkers(std::move(by_shard[i]))}, pass);
+    RunOwners(ForOwners{i, OwnWorkers(std::move(by_shard[i]), !isolated)}, pass);
   }
   m_rooms.KeepServices(m_self, Digests());
 }
--- a/src/transport/directory_watch.cc
+++ b/src/transport/directory_watch.cc
@@ -46,6 +46,7 @@
 void DirectoryWatch::NoteStore(const Error* error) {
   const bool lost = error != nullptr;
   if (m_store_lost.exchange(lost) == lost) return;
+  m_events.Accept(StoreContact(!lost));
   LogEvent::Pairs pairs;
   if (lost) pairs = {{"error", error->code()}, {"why", error->message()}};
   m_log.Write(LogEvent(lost ? LogLevel::kWarning : LogLevel::kInfo,
--- /dev/null
+++ b/tests/unit/unit-member_table.cpp
@@ -0,0 +1,128 @@
+// Members in touch, and who commands which worker.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "sapphireflow/membership/member_table.h"
+
+using namespace sapphireflow;
+
+namespace {
+
+const NodeId kSelf(Address(1, 1), 1);
+const Instant kStart = FromUnixMillis(1700000000000);
+
+Duration Millis(int millis) { return std::chrono::milliseconds(millis); }
+
+NodeId Node(std::uint32_t ip, Incarnation incarnation = 1) { return {Address(ip, 1), incarnation}; }
+
+MemberBeat Beat(const NodeId& from, std::uint64_t sequence, std::uint64_t echo,
+                const std::string& zone = "celaya", bool draining = false,
+                std::uint64_t link_losses = 0) {
+  return {from, zone, draining, sequence, echo, link_losses, 0, 0, {}};
+}
+
+WorkerListings Workers(const std::string& zone, std::uint32_t count) {
+  WorkerListings workers;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    workers.emplace_back(zone + std::to_string(i), Address(100 + i, 80), "workshop", zone,
+                         std::vector<std::string>(), Resources(16000, 32768, 0), 1, false);
+  }
+  return workers;
+}
+
+bool Has(const MemberChanges& changes, MemberChange::Kind kind) {
+  return std::any_of(changes.begin(), changes.end(),
+                     [kind](const MemberChange& change) { return change.kind() == kind; });
+}
+
+}  // namespace
+
+TEST_CASE("two members of a zone share its workers, and one takes over from the other") {
+  MemberTable table(kSelf, "celaya");
+  table.SetWorkers(Workers("celaya", 24));
+  CHECK(table.OwnWorkers().size() == 24);
+  table.OnListed({MemberListing(Node(2), "celaya")}, kStart);
+  table.OnBeat(Beat(Node(2), 1, 1), kStart);
+  const std::size_t own = table.OwnWorkers().size();
+  CHECK(own > 4);
+  CHECK(own < 20);
+  CHECK(Has(table.OnTick(kStart + Millis(700)), MemberChange::Kind::kLost));
+  CHECK(table.OwnWorkers().size() == 24);
+}
+
+TEST_CASE("workers of another zone are left to its members while one is in touch") {
+  MemberTable table(kSelf, "celaya");
+  table.SetWorkers(Workers("leon", 5));
+  table.OnListed({MemberListing(Node(2), "leon")}, kStart);
+  CHECK(table.OwnWorkers().empty());
+  CHECK(Has(table.OnTick(kStart + Millis(1600)), MemberChange::Kind::kLost));
+  CHECK(table.OwnWorkers().size() == 5);
+}
+
+TEST_CASE("a draining member owns nothing") {
+  MemberTable table(kSelf, "celaya");
+  table.SetWorkers(Workers("celaya", 5));
+  table.OnBeat(Beat(Node(2), 1, 1), kStart);
+  table.SetDraining();
+  CHECK(table.OwnWorkers().empty());
+  CHECK(table.OwnerOf("celaya0") == Node(2));
+}
+
+// Found with a one-way cut: a member that hears the others but is not heard by them kept its
+// workers, which the others took, and took them back.
+TEST_CASE("a member that does not hear our beats is out of touch") {
+  MemberTable table(kSelf, "celaya");
+  table.OnBeat(Beat(Node(2), 1, 1), kStart);
+  for (int i = 1; i <= 5; ++i) table.OnBeat(Beat(Node(2), 1 + i, 1), kStart + Millis(150 * i));
+  CHECK(Has(table.OnTick(kStart + Millis(750)), MemberChange::Kind::kLost));
+  CHECK_FALSE(
+      Has(table.OnBeat(Beat(Node(2), 7, 1), kStart + Millis(800)), MemberChange::Kind::kJoined));
+  CHECK(Has(table.OnBeat(Beat(Node(2), 8, 9), kStart + Millis(900)), MemberChange::Kind::kJoined));
+}
+
+// Found with a member cut off from all others and the store: it took over the whole fleet.
+TEST_CASE("a member that is cut off leaves the workers of the others alone") {
+  MemberTable table(kSelf, "celaya");
+  WorkerListings workers = Workers("leon", 5);
+  for (const WorkerListing& worker : Workers("celaya", 5)) workers.push_back(worker);
+  table.SetWorkers(workers);
+  table.OnBeat(Beat(Node(2), 1, 1, "leon"), kStart);
+  table.OnBeat(Beat(Node(3), 1, 1, "leon"), kStart);
+  table.OnTick(kStart + Millis(700));
+  SECTION("while the store answers, the others are gone") {
+    CHECK_FALSE(table.Isolated());
+    CHECK(table.OwnWorkers().size() == 10);
+  }
+  SECTION("without the store this member is cut off") {
+    table.SetStoreInTouch(false);
+    CHECK(table.Isolated());
+    CHECK(table.OwnWorkers().size() == 5);
+  }
+}
+
+TEST_CASE("a lost link is told once a tick") {
+  MemberTable table(kSelf, "celaya");
+  table.OnBeat(Beat(Node(2), 1, 1), kStart);
+  for (int i = 0; i < 100; ++i) table.OnLinkDown(Node(2).address(), kStart);
+  const MemberChanges changes = table.OnTick(kStart + Millis(50));
+  CHECK(changes.size() == 1);
+  CHECK(Has(changes, MemberChange::Kind::kLinkLost));
+  CHECK(table.OnTick(kStart + Millis(100)).empty());
+}
+
+TEST_CASE("a lost link of the other side is told by its beat") {
+  MemberTable table(kSelf, "celaya");
+  table.OnBeat(Beat(Node(2), 1, 1), kStart);
+  CHECK(Has(table.OnBeat(Beat(Node(2), 2, 2, "celaya", false, 1), kStart),
+            MemberChange::Kind::kLinkLost));
+}
+
+TEST_CASE("another process at a member's address is told as the loss of the first") {
+  MemberTable table(kSelf, "celaya");
+  table.OnBeat(Beat(Node(2, 1), 5, 1), kStart);
+  const MemberChanges changes = table.OnBeat(Beat(Node(2, 2), 1, 0), kStart + Millis(100));
+  CHECK(Has(changes, MemberChange::Kind::kLost));
+  CHECK(Has(changes, MemberChange::Kind::kJoined));
+}
