Let the usual owner of a worker win against its deputy

Change: a deputy, who owns a worker only while its usual owner is out of touch, stays away for 5 s, doubling, once it is fenced; the usual owner retries after 150 ms. With most members lost a VM becomes deputy after 2.5 s and an answer of the store.

--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -90,8 +91,8 @@
   /// @brief The loss is told by the next tick, however often it comes until then.
   void OnLinkDown(const Address& peer, Instant now);
   MemberChanges OnTick(Instant now);
-  /// @brief Whether the platform's store answers this VM.
-  void SetStoreInTouch(bool in_touch);
+  /// @brief The platform's store has answered this VM.
+  void OnStoreAnswer(Instant now);
   void SetDraining();
   void SetWorkers(const WorkerListings& workers);
 
@@ -99,9 +100,11 @@
   std::vector<BeatAddress> DueBeats(Instant now);
   /// @return the workers that this VM commands. Complexity: workers times members of a zone.
   WorkerListings OwnWorkers() const;
+  /// @return those of them that another member owns when it is in touch.
+  std::set<WorkerId> DeputizedWorkers() const;
   std::optional<NodeId> OwnerOf(const WorkerId& worker) const override;
-  /// @brief Whether this VM is probably the one that is cut off: the store does not answer, and
-  /// most of the members that it knows are out of touch.
+  /// @brief Whether this VM may be the one that is cut off: most of the members that it knows are
+  /// out of touch, and not for long or without an answer of the store since.
   bool Isolated() const;
   /// @return members in touch, without this VM.
   std::vector<NodeId> InTouch() const;
@@ -128,8 +131,10 @@
     std::uint64_t its_link_losses = 0;
   };
   bool IsolatedLocked() const;
-  std::optional<NodeId> OwnerOfLocked(const WorkerListing& worker) const;
+  /// @param lost_too whether members out of touch count as owners
+  std::optional<NodeId> OwnerOfLocked(const WorkerListing& worker, bool lost_too) const;
   void Lose(Member& member, const std::string& why, MemberChanges& changes) const;
+  bool MostOutOfTouch() const;
 
   const NodeId m_self;
   const std::string m_zone;
@@ -138,7 +143,10 @@
   std::map<Address, Member> m_members;
   std::map<WorkerId, WorkerListing> m_workers;
   bool m_draining = false;
-  bool m_store_in_touch = true;
+  Instant m_store_answer_at{};
+  // when most members were lost; not set while most are in touch
+  std::optional<Instant> m_most_lost_at;
+  Instant m_ticked_at{};
 };
 
 }  // namespace sapphireflow
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -62,6 +62,7 @@
     Owned(WorkerListing listing, FencingToken token, const LeaseLimits& limits, Instant now)
         : session(std::move(listing), token, limits, now) {}
     Session session;
+    bool deputized = false;
     std::uint32_t refusals = 0;
     Instant retry_at{};
   };
@@ -97,7 +98,6 @@
   SpeedEstimator m_speeds;
   std::map<WorkerId, Owned> m_workers;
   std::vector<WaitingRun> m_waiting;
-  bool m_may_retake = true;
   // runs given up to other owners not long ago, for coordinators that missed the report
   struct Released {
     WorkerId worker;
--- a/include/sapphireflow/ownership/ownership_event.h
+++ b/include/sapphireflow/ownership/ownership_event.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -23,16 +24,17 @@
 /// @brief The workers that the shard owns from now on.
 class OwnWorkers : public Comparable<OwnWorkers> {
  public:
-  OwnWorkers(WorkerListings workers, bool may_retake)
-      : m_workers(std::move(workers)), m_may_retake(may_retake) {}
+  OwnWorkers(WorkerListings workers, std::set<WorkerId> deputized)
+      : m_workers(std::move(workers)), m_deputized(std::move(deputized)) {}
   const WorkerListings& workers() const { return m_workers; }
-  /// @brief False for a VM that is cut off: who fenced it probably does so with good reason.
-  bool may_retake() const { return m_may_retake; }
-  auto Fields() const { return std::tie(m_workers, m_may_retake); }
+  /// @brief Those of them that are owned only while their usual owner is out of touch. If it
+  /// fences this VM, it is alive, and has the better claim.
+  const std::set<WorkerId>& deputized() const { return m_deputized; }
+  auto Fields() const { return std::tie(m_workers, m_deputized); }
 
  private:
   WorkerListings m_workers;
-  bool m_may_retake;
+  std::set<WorkerId> m_deputized;
 };
 
 /// @brief A coordinator is gone or out of touch: nobody waits for its runs.
--- a/include/sapphireflow/routing/dispatch_event.h
+++ b/include/sapphireflow/routing/dispatch_event.h
@@ -35,15 +35,10 @@
   std::vector<MemberListing> m_members;
 };
 
-/// @brief The platform's store stopped answering, or answers again.
-class StoreContact : public Comparable<StoreContact> {
+/// @brief The platform's store has answered a call.
+class StoreAnswered : public Comparable<StoreAnswered> {
  public:
-  explicit StoreContact(bool in_touch) : m_in_touch(in_touch) {}
-  bool in_touch() const { return m_in_touch; }
-  auto Fields() const { return std::tie(m_in_touch); }
-
- private:
-  bool m_in_touch;
+  auto Fields() const { return std::tuple<>(); }
 };
 
 /// @brief A link to a member was lost, with what was on its way.
@@ -77,7 +72,7 @@
 
 using DispatchEvent =
     std::variant<SubmitWork, CallerGone, AskWork, WorkersListed, MembersListed, ConfigurationCopy,
-                 DispatchMessage, StoreContact, LinkDown, StartReplied, RenewalReplied,
+                 DispatchMessage, StoreAnswered, LinkDown, StartReplied, RenewalReplied,
                  DispatchTick, StopPlanned, IntakeClosed>;
 
 class DispatchInput : public Comparable<DispatchInput> {
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -64,7 +64,7 @@
   void Take(const WorkersListed& event, Pass& pass);
   void Take(const MembersListed& event, Pass& pass);
   void Take(const ConfigurationCopy& event, Pass& pass);
-  void Take(const StoreContact& event, Pass& pass);
+  void Take(const StoreAnswered& event, Pass& pass);
   void Take(const DispatchMessage& event, Pass& pass);
   void Take(const LinkDown& event, Pass& pass);
   void Take(const StartReplied& event, Pass& pass);
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -16,6 +16,8 @@
 // a new member is counted in for so long before its first beat: processes start within a second
 constexpr Duration kFirstTrust = std::chrono::milliseconds(1500);
 constexpr Duration kResetLinkAfter = std::chrono::milliseconds(450);
+// members that were killed together are back within a second; a cut heals in seconds
+constexpr Duration kDeputizeMostAfter = std::chrono::milliseconds(2500);
 // one that is neither listed nor heard is forgotten
 constexpr Duration kForgetAfter = std::chrono::seconds(15);
 
@@ -108,6 +110,7 @@
 MemberChanges MemberTable::OnTick(Instant now) {
   MemberChanges changes;
   std::lock_guard<std::mutex> lock(m_mutex);
+  m_ticked_at = now;
   for (auto item = m_members.begin(); item != m_members.end();) {
     Member& member = item->second;
     if (member.in_touch && member.link_lost && member.heard_sequence > 0) {
@@ -129,6 +132,11 @@
     }
     ++item;
   }
+  if (!MostOutOfTouch()) {
+    m_most_lost_at.reset();
+  } else if (!m_most_lost_at) {
+    m_most_lost_at = now;
+  }
   return changes;
 }
 
@@ -160,9 +168,9 @@
   return beats;
 }
 
-void MemberTable::SetStoreInTouch(bool in_touch) {
+void MemberTable::OnStoreAnswer(Instant now) {
   std::lock_guard<std::mutex> lock(m_mutex);
-  m_store_in_touch = in_touch;
+  m_store_answer_at = now;
 }
 
 bool MemberTable::Isolated() const {
@@ -171,25 +179,26 @@
 }
 
 bool MemberTable::IsolatedLocked() const {
-  if (m_store_in_touch) return false;
+  return m_most_lost_at && (m_store_answer_at <= *m_most_lost_at ||
+                            m_ticked_at - *m_most_lost_at < kDeputizeMostAfter);
+}
+
+bool MemberTable::MostOutOfTouch() const {
   const auto in_touch = std::count_if(m_members.begin(), m_members.end(),
                                       [](const auto& item) { return item.second.in_touch; });
   return 2 * in_touch < static_cast<std::ptrdiff_t>(m_members.size());
 }
 
-std::optional<NodeId> MemberTable::OwnerOfLocked(const WorkerListing& worker) const {
+std::optional<NodeId> MemberTable::OwnerOfLocked(const WorkerListing& worker, bool lost_too) const {
   std::vector<Address> in_zone;
   std::vector<Address> everywhere;
   const auto consider = [&](const Address& address, const std::string& zone) {
     everywhere.push_back(address);
     if (zone == worker.zone()) in_zone.push_back(address);
   };
-  const bool isolated = IsolatedLocked();
   if (!m_draining) consider(m_self.address(), m_zone);
   for (const auto& [address, member] : m_members) {
-    // who is cut off leaves the workers of the others alone, since they may well serve on
-    const bool counts = member.in_touch || isolated;
-    if (counts && !member.draining) consider(address, member.zone);
+    if ((member.in_touch || lost_too) && !member.draining) consider(address, member.zone);
   }
   const auto& candidates = in_zone.empty() ? everywhere : in_zone;
   if (candidates.empty()) return std::nullopt;
@@ -200,17 +209,28 @@
 WorkerListings MemberTable::OwnWorkers() const {
   WorkerListings own;
   std::lock_guard<std::mutex> lock(m_mutex);
+  // who is cut off leaves the workers of the others alone, since they may well serve on
+  const bool isolated = IsolatedLocked();
   for (const auto& [id, worker] : m_workers) {
-    if (OwnerOfLocked(worker) == m_self) own.push_back(worker);
+    if (OwnerOfLocked(worker, isolated) == m_self) own.push_back(worker);
   }
   return own;
 }
 
+std::set<WorkerId> MemberTable::DeputizedWorkers() const {
+  std::set<WorkerId> deputized;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [id, worker] : m_workers) {
+    if (OwnerOfLocked(worker, true) != m_self) deputized.insert(id);
+  }
+  return deputized;
+}
+
 std::optional<NodeId> MemberTable::OwnerOf(const WorkerId& worker) const {
   std::lock_guard<std::mutex> lock(m_mutex);
   const auto found = m_workers.find(worker);
   if (found == m_workers.end()) return std::nullopt;
-  return OwnerOfLocked(found->second);
+  return OwnerOfLocked(found->second, IsolatedLocked());
 }
 
 std::vector<NodeId> MemberTable::InTouch() const {
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -11,6 +11,8 @@
 constexpr Duration kMoveAfter = std::chrono::milliseconds(25);
 // a refused owner stays away for so long, doubling with each refusal in a row
 constexpr Duration kFirstRefusalPause = std::chrono::milliseconds(150);
+// the usual owner is alive; its cut from us lasts seconds
+constexpr Duration kDeputyRefusalPause = std::chrono::seconds(5);
 constexpr std::uint32_t kMaxRefusalDoublings = 4;
 // longer than any run goes on without its coordinator's word
 constexpr Duration kKeepReleased = std::chrono::seconds(5);
@@ -56,7 +58,6 @@
 }
 
 void OwnerShard::On(const OwnWorkers& event, Instant now, OwnerEffects& out) {
-  m_may_retake = event.may_retake();
   std::map<WorkerId, const WorkerListing*> wanted;
   for (const WorkerListing& listing : event.workers()) wanted[listing.id()] = &listing;
   for (auto item = m_workers.begin(); item != m_workers.end();) {
@@ -83,9 +84,12 @@
     m_speeds.Forget(item->first);
     item = m_workers.erase(item);
   }
+  const auto& deputized = event.deputized();
+  for (auto& [id, owned] : m_workers) owned.deputized = deputized.count(id) > 0;
   for (const auto& [id, listing] : wanted) {
     const FencingToken token = m_tokens.Next(now);
-    m_workers.emplace(id, Owned(*listing, token, m_limits, now));
+    m_workers.emplace(id, Owned(*listing, token, m_limits, now)).first->second.deputized =
+        deputized.count(id) > 0;
     out.emplace_back(LogEvent(LogLevel::kInfo, "worker_taken",
                               {{"worker", id}, {"token", std::to_string(token)}}));
   }
@@ -201,7 +205,7 @@
                                 {{"worker", id}, {"runs", std::to_string(stragglers)}}));
     }
     TakeIn(owned, news, now, out);
-    if (session.phase() == Session::Phase::kFenced && m_may_retake && now >= owned.retry_at) {
+    if (session.phase() == Session::Phase::kFenced && now >= owned.retry_at) {
       session.Retake(m_tokens.Next(now), now);
     }
   }
@@ -228,10 +232,12 @@
   for (std::uint32_t i = 0; i < news.failures; ++i) m_policies.outliers().OnFailure(address, now);
   if (!news.fenced) return;
   const std::uint32_t doublings = std::min(owned.refusals, kMaxRefusalDoublings);
-  owned.retry_at = now + kFirstRefusalPause * (1U << doublings);
+  const Duration pause =
+      (owned.deputized ? kDeputyRefusalPause : kFirstRefusalPause) * (1U << doublings);
+  owned.retry_at = now + pause;
   ++owned.refusals;
   // a token that is too low for want of a right clock is made up for by and by
-  m_tokens.SkipAhead(kFirstRefusalPause * (1U << doublings));
+  m_tokens.SkipAhead(pause);
   out.emplace_back(LogEvent(LogLevel::kWarning, "worker_fenced",
                             {{"worker", id},
                              {"refusals", std::to_string(owned.refusals)},
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -105,9 +105,8 @@
   Follow(m_members.OnListed(event.members(), pass.now), pass);
 }
 
-void DispatchNode::Take(const StoreContact& event, Pass& pass) {
-  m_members.SetStoreInTouch(event.in_touch());
-  AssignWorkers(pass);
+void DispatchNode::Take(const StoreAnswered& /*event*/, Pass& pass) {
+  m_members.OnStoreAnswer(pass.now);
 }
 
 void DispatchNode::Take(const ConfigurationCopy& event, Pass& pass) {
@@ -137,7 +136,9 @@
 }
 
 void DispatchNode::Take(const DispatchTick& /*event*/, Pass& pass) {
+  const bool was_isolated = m_members.Isolated();
   Follow(m_members.OnTick(pass.now), pass);
+  if (m_members.Isolated() != was_isolated) AssignWorkers(pass);
   ToAllOwners(OwnerTick(), pass);
   ToAllJobs(JobTick(), pass);
   Drain(pass);
@@ -233,13 +234,13 @@
 
 void DispatchNode::AssignWorkers(Pass& pass) {
   std::lock_guard<std::mutex> lock(m_assign_mutex);
-  const bool isolated = m_members.Isolated();
+  const auto deputized = m_members.DeputizedWorkers();
   std::vector<WorkerListings> by_shard(m_owners.size());
   for (const WorkerListing& worker : m_members.OwnWorkers()) {
     by_shard[OwnerShardOf(worker.service())].push_back(worker);
   }
   for (std::size_t i = 0; i < by_shard.size(); ++i) {
-    RunOwners(ForOwners{i, OwnWorkers(std::move(by_shard[i]), !isolated)}, pass);
+    RunOwners(ForOwners{i, OwnWorkers(std::move(by_shard[i]), deputized)}, pass);
   }
   m_rooms.KeepServices(m_self, Digests());
 }
--- a/src/transport/directory_watch.cc
+++ b/src/transport/directory_watch.cc
@@ -45,8 +45,8 @@
 
 void DirectoryWatch::NoteStore(const Error* error) {
   const bool lost = error != nullptr;
+  if (!lost) m_events.Accept(StoreAnswered());
   if (m_store_lost.exchange(lost) == lost) return;
-  m_events.Accept(StoreContact(!lost));
   LogEvent::Pairs pairs;
   if (lost) pairs = {{"error", error->code()}, {"why", error->message()}};
   m_log.Write(LogEvent(lost ? LogLevel::kWarning : LogLevel::kInfo,
@@ -70,6 +70,7 @@
   m_store.WatchConfiguration(after, kConfigurationWait,
                              [this](WatchEnd end, std::uint64_t revision) {
                                if (end == WatchEnd::kUnchanged) {
+                                 NoteStore(nullptr);
                                  WatchConfiguration(revision);
                                } else if (end == WatchEnd::kFailed) {
                                  After(kRetry, [this] { ReadConfiguration(); });
