Recover from a restart of all: echoes, lists and tokens of former lives do not count

(1) A restarted VM took the echo of its former process's beats for its own and counted its peers as deaf until its numbers passed. (2) Lists answered under a former token were compared with runs that another owner had started since. (3) Each refusal pushed the tokens ahead, by minutes in all; after all VMs had been restarted theirs were too low for as long. Ruled out: slow starts of the processes (up within 0.6 s), the store (answers within 10 ms). Change: beats to an address go on counting, an echo above what was sent is ignored, lists under another token than the session's are ignored, tokens skip ahead only from the second refusal of a usual owner.

--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -60,9 +60,11 @@
     if (member.heard_sequence > 0) {
       changes.emplace_back(MemberChange::Kind::kLost, member.node, "restarted");
     }
-    const bool listed = member.listed;
-    member = Member();
-    member.listed = listed;
+    Member fresh;
+    fresh.listed = member.listed;
+    // our beats to this address may have reached the new process before: they go on counting
+    fresh.sent_sequence = member.sent_sequence;
+    member = fresh;
   }
   const bool first = member.heard_sequence == 0;
   member.node = beat.from();
@@ -73,7 +75,8 @@
   }
   member.heard_at = now;
   member.heard_sequence = std::max(member.heard_sequence, beat.sequence());
-  if (beat.echo() > member.echoed) {
+  // an echo of more than was sent is one of this VM's former process
+  if (beat.echo() > member.echoed && beat.echo() <= member.sent_sequence) {
     member.echoed = beat.echo();
     member.echoed_at = now;
   }
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -14,6 +14,8 @@
 // the usual owner is alive; its cut from us lasts seconds
 constexpr Duration kDeputyRefusalPause = std::chrono::seconds(5);
 constexpr std::uint32_t kMaxRefusalDoublings = 4;
+// with the doublings, five refusals make up for a clock that was set back by half a minute
+constexpr Duration kTokenSkip = std::chrono::seconds(1);
 // longer than any run goes on without its coordinator's word
 constexpr Duration kKeepReleased = std::chrono::seconds(5);
 constexpr std::uint32_t kUnlimitedSlots = 1000;
@@ -236,8 +238,10 @@
       (owned.deputized ? kDeputyRefusalPause : kFirstRefusalPause) * (1U << doublings);
   owned.retry_at = now + pause;
   ++owned.refusals;
-  // a token that is too low for want of a right clock is made up for by and by
-  m_tokens.SkipAhead(pause);
+  // Tokens of other members are known from their beats. A second refusal in a row means that ours
+  // are too low for another reason: a clock that was set back, or a highest token that nobody who
+  // lives remembers.
+  if (!owned.deputized && owned.refusals > 1) m_tokens.SkipAhead(kTokenSkip * (1U << doublings));
   out.emplace_back(LogEvent(LogLevel::kWarning, "worker_fenced",
                             {{"worker", id},
                              {"refusals", std::to_string(owned.refusals)},
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -139,6 +139,11 @@
   if (reply.call() <= m_newest_answered || m_phase == Phase::kFenced) return;
   switch (reply.outcome()) {
     case CallOutcome::kOk: {
+      if (reply.token() != m_token) {
+        // its lists may be older than what another owner did before this one took the worker anew
+        m_renew_now = !NewerRenewalUnderWay(reply.call());
+        return;
+      }
       const WorkerReport& report = *reply.report();
       if (report.born_ms() != 0 && m_listing.born_ms() != 0 &&
           report.born_ms() != m_listing.born_ms()) {
@@ -149,10 +154,8 @@
       m_clock_ms = report.clock_ms();
       m_clock_read_at = now;
       m_missed = 0;
-      if (reply.token() == m_token) {
-        m_phase = Phase::kHeld;
-        m_suspect = false;
-      }
+      m_phase = Phase::kHeld;
+      m_suspect = false;
       TakeEnds(report, now, news);
       CompareRunning(reply, now, news);
       m_renew_now = !NewerRenewalUnderWay(reply.call());
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -312,3 +312,46 @@
   owner.Feed(OwnerTick());
   CHECK(owner.renewals.size() == sent + 1);
 }
+
+// An answer to a renewal under a former token may be older than what another owner started.
+TEST_CASE("lists under a former token do not count") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  const RenewLease old = owner.renewals.back();
+  owner.Feed(owner.Adoption(0));
+  REQUIRE(owner.renewals.back().call().token() > old.call().token());
+  owner.Feed(RenewalReplied("w1", old.call().token(), old.call().number(), CallOutcome::kOk,
+                            WorkerReport(kWorkerClock, 1, {}, {})));
+  CHECK_FALSE(owner.ReportOf(Run(0)));
+  owner.Place({1, 2});
+  // the adopted run and one more fill the worker
+  owner.AnswerRenewal({Run(0)}, {});
+  CHECK(owner.starts.size() == 1);
+}
+
+// Found on the users' bench: refusals pushed tokens minutes ahead of the time of day; after all VMs
+// had been restarted, theirs were too low for as long.
+TEST_CASE("fenced owners keep their tokens near the time of day") {
+  Owner owner;
+  owner.Feed(OwnWorkers({Listing("w1", 10), Listing("w2", 11)}, {"w2"}));
+  const auto fence = [&owner](const std::string& worker) {
+    for (std::size_t i = owner.renewals.size(); i-- > 0;) {
+      const RenewLease renewal = owner.renewals[i];
+      if (renewal.call().worker() != worker) continue;
+      owner.Feed(RenewalReplied(worker, renewal.call().token(), renewal.call().number(),
+                                CallOutcome::kFenced, std::nullopt));
+      return renewal.call().token();
+    }
+    return FencingToken{0};
+  };
+  const FencingToken first = fence("w1");
+  for (int i = 0; i < 20; ++i) {
+    fence("w2");
+    owner.now += Millis(6000);
+    owner.Feed(OwnerTick());
+    owner.AnswerRenewal({}, {}, "w1");
+  }
+  constexpr int kOwnerBits = 11;
+  const auto ahead_ms = static_cast<std::int64_t>((fence("w1") - first) >> kOwnerBits) - 20 * 6000;
+  CHECK(ahead_ms < 2000);
+}
