Say what owners offer once for all members; fewer beats across zones; long waits while answers come

Change: room digests go out each 200 ms in one message encoded once; beats to other zones slow down with the members, from 150 to 300 ms, silence is four of them and at most 1 s; renewals wait 400 ms again, and 60 ms for 4 s after any worker's answer was lost.

--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -235,7 +235,7 @@
  public:
   MemberBeat(const NodeId& from, std::string zone, bool draining, std::uint64_t sequence,
              std::uint64_t echo, std::uint64_t link_losses, std::uint64_t configuration_version,
-             std::uint64_t token_floor, std::vector<RoomDigest> digests)
+             std::uint64_t token_floor)
       : m_from(from),
         m_zone(std::move(zone)),
         m_draining(draining),
@@ -243,8 +243,7 @@
         m_echo(echo),
         m_link_losses(link_losses),
         m_configuration_version(configuration_version),
-        m_token_floor(token_floor),
-        m_digests(std::move(digests)) {}
+        m_token_floor(token_floor) {}
   const NodeId& from() const { return m_from; }
   const std::string& zone() const { return m_zone; }
   bool draining() const { return m_draining; }
@@ -256,10 +255,9 @@
   std::uint64_t configuration_version() const { return m_configuration_version; }
   /// @brief Highest fencing token that the sender knows to be in use.
   std::uint64_t token_floor() const { return m_token_floor; }
-  const std::vector<RoomDigest>& digests() const { return m_digests; }
   auto Fields() const {
     return std::tie(m_from, m_zone, m_draining, m_sequence, m_echo, m_link_losses,
-                    m_configuration_version, m_token_floor, m_digests);
+                    m_configuration_version, m_token_floor);
   }
 
  private:
@@ -271,6 +269,21 @@
   std::uint64_t m_link_losses;
   std::uint64_t m_configuration_version;
   std::uint64_t m_token_floor;
+};
+
+/// @brief Owner to all members: what its workers offer now. The same for all.
+class RoomNotice : public Comparable<RoomNotice> {
+ public:
+  RoomNotice(const NodeId& owner, std::string zone, std::vector<RoomDigest> digests)
+      : m_owner(owner), m_zone(std::move(zone)), m_digests(std::move(digests)) {}
+  const NodeId& owner() const { return m_owner; }
+  const std::string& zone() const { return m_zone; }
+  const std::vector<RoomDigest>& digests() const { return m_digests; }
+  auto Fields() const { return std::tie(m_owner, m_zone, m_digests); }
+
+ private:
+  NodeId m_owner;
+  std::string m_zone;
   std::vector<RoomDigest> m_digests;
 };
 
@@ -299,7 +312,7 @@
 };
 
 using DispatchMessage = std::variant<PlaceRuns, CancelRuns, AdoptRun, RunReports, MemberBeat,
-                                     ConfigurationRequest, ConfigurationCopy>;
+                                     RoomNotice, ConfigurationRequest, ConfigurationCopy>;
 
 }  // namespace sapphireflow
 
--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -135,6 +135,9 @@
   std::optional<NodeId> OwnerOfLocked(const WorkerListing& worker, bool lost_too) const;
   void Lose(Member& member, const std::string& why, MemberChanges& changes) const;
   bool MostOutOfTouch() const;
+  Duration BeatInterval(const Member& member) const;
+  // a member that is not heard for so long is out of touch
+  Duration SilenceOf(const Member& member) const;
 
   const NodeId m_self;
   const std::string m_zone;
--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -49,6 +49,8 @@
   std::uint32_t failures = 0;
   // another owner has a higher token
   bool fenced = false;
+  // an answer was lost
+  bool answer_lost = false;
 };
 
 /// @brief State of one owned worker. Not thread-safe: its shard's lock guards it.
@@ -80,7 +82,8 @@
   /// @return runs of the step on this worker. Complexity: linear in the runs.
   std::uint32_t CountOfStep(const TaskKey& task) const;
 
-  StartRun Start(const WaitingRun& waiting, CallNumber call, Instant now);
+  /// @param hasty whether answers are being lost, so that shorter limits hold
+  StartRun Start(const WaitingRun& waiting, CallNumber call, Instant now, bool hasty);
   void OnStartReply(const StartReplied& reply, CallNumber newest_call, Instant now,
                     SessionNews& news);
   void OnRenewal(const RenewalReplied& reply, Instant now, SessionNews& news);
@@ -101,7 +104,8 @@
   /// @brief Takes the worker anew: all orders under lower tokens become void with the answer.
   void Retake(FencingToken token, Instant now);
   /// @return the renewal that is due now, if any.
-  std::optional<RenewLease> NextRenewal(CallNumber call, Instant now);
+  /// @param hasty as for `Start`
+  std::optional<RenewLease> NextRenewal(CallNumber call, Instant now, bool hasty);
   /// @return stop orders that are due now. @param next_call gives call numbers
   std::vector<StopRun> DueStops(std::atomic<CallNumber>& next_call, Instant now);
 
@@ -130,8 +134,6 @@
   void TakeEnds(const WorkerReport& report, Instant now, SessionNews& news);
   void CompareRunning(const RenewalReplied& reply, Instant now, SessionNews& news);
   bool NewerRenewalUnderWay(CallNumber call) const;
-  // whether an answer of the worker was lost not long ago
-  bool Troubled(Instant now) const;
   std::int64_t LeaseUntil(Instant now) const;
   WorkerCall MakeCall(CallNumber call, std::int64_t lease_until_ms) const;
 
@@ -152,7 +154,6 @@
   bool m_suspect = false;
   // start orders in a row that got no answer
   std::uint32_t m_lost_starts = 0;
-  Instant m_trouble_at{};
   // the worker's clock at one of our points in time; not set before the first answer
   std::optional<std::int64_t> m_clock_ms;
   Instant m_clock_read_at{};
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -83,6 +83,7 @@
   bool MayTake(const Owned& owned, const WaitingRun& waiting, Instant now) const;
   void Upkeep(Instant now, OwnerEffects& out);
   void Decline(const WaitingRun& waiting, const std::string& reason);
+  bool Hasty(Instant now) const;
   void FlushReports(OwnerEffects& out);
   std::vector<RoomDigest> DigestsLocked() const;
 
@@ -107,6 +108,8 @@
   // reports of the event under way, by coordinator
   std::map<NodeId, std::vector<RunReport>> m_reports;
   Instant m_now{};
+  // when an answer of any worker was lost last
+  Instant m_answer_lost_at{};
 };
 
 }  // namespace sapphireflow
--- a/include/sapphireflow/routing/dispatch_event.h
+++ b/include/sapphireflow/routing/dispatch_event.h
@@ -87,17 +87,19 @@
   DispatchEvent m_event;
 };
 
-/// @brief Send a message to another member.
+/// @brief Send one message to one or more other members.
 class SendMessage : public Comparable<SendMessage> {
  public:
   SendMessage(const Address& to, DispatchMessage message)
-      : m_to(to), m_message(std::move(message)) {}
-  const Address& to() const { return m_to; }
+      : m_to({to}), m_message(std::move(message)) {}
+  SendMessage(std::vector<Address> to, DispatchMessage message)
+      : m_to(std::move(to)), m_message(std::move(message)) {}
+  const std::vector<Address>& to() const { return m_to; }
   const DispatchMessage& message() const { return m_message; }
   auto Fields() const { return std::tie(m_to, m_message); }
 
  private:
-  Address m_to;
+  std::vector<Address> m_to;
   DispatchMessage m_message;
 };
 
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -78,12 +78,14 @@
   void Receive(const AdoptRun& message, Pass& pass);
   void Receive(const RunReports& message, Pass& pass);
   void Receive(const MemberBeat& message, Pass& pass);
+  void Receive(const RoomNotice& message, Pass& pass);
   void Receive(const ConfigurationRequest& message, Pass& pass);
   void Receive(const ConfigurationCopy& message, Pass& pass);
 
   void Follow(const MemberChanges& changes, Pass& pass);
   void AssignWorkers(Pass& pass);
   void SendBeats(Pass& pass);
+  void SendRooms(Pass& pass);
   void Drain(Pass& pass);
   void RunJobs(const ForJobs& work, Pass& pass);
   void RunOwners(const ForOwners& work, Pass& pass);
@@ -100,6 +102,8 @@
   FencingTokens m_tokens;
   std::atomic<CallNumber> m_next_call{1};
   std::atomic<bool> m_draining{false};
+  // microseconds since the epoch
+  std::atomic<Instant::rep> m_rooms_sent_at{0};
   std::atomic<bool> m_intake_closed{false};
   RoomBoard m_rooms;
   MemberTable m_members;
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -134,8 +134,10 @@
           m.echo(),
           m.link_losses(),
           m.configuration_version(),
-          m.token_floor(),
-          WriteAll(m.digests())};
+          m.token_floor()};
+}
+Json Body(const RoomNotice& m) {
+  return {detail::Write(m.owner()), m.zone(), WriteAll(m.digests())};
 }
 Json Body(const ConfigurationRequest& m) { return Json::array({detail::Write(m.from())}); }
 Json Body(const ConfigurationCopy& m) {
@@ -166,7 +168,11 @@
   return MemberBeat(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(), j.at(2).get<bool>(),
                     j.at(3).get<std::uint64_t>(), j.at(4).get<std::uint64_t>(),
                     j.at(5).get<std::uint64_t>(), j.at(6).get<std::uint64_t>(),
-                    j.at(7).get<std::uint64_t>(), ReadList(j.at(8), ReadDigest));
+                    j.at(7).get<std::uint64_t>());
+}
+DispatchMessage ReadNotice(const Json& j) {
+  return RoomNotice(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
+                    ReadList(j.at(2), ReadDigest));
 }
 DispatchMessage ReadConfigurationRequest(const Json& j) {
   return ConfigurationRequest(detail::ReadNodeId(j.at(0)));
@@ -179,8 +185,13 @@
 
 using Reader = DispatchMessage (*)(const Json&);
 // in the order of the types in `DispatchMessage`
-constexpr Reader kReaders[] = {ReadPlace,        ReadCancel, ReadAdopt,
-                               ReadReports,      ReadBeat,   ReadConfigurationRequest,
+constexpr Reader kReaders[] = {ReadPlace,
+                               ReadCancel,
+                               ReadAdopt,
+                               ReadReports,
+                               ReadBeat,
+                               ReadNotice,
+                               ReadConfigurationRequest,
                                ReadConfiguration};
 static_assert(std::size(kReaders) == std::variant_size_v<DispatchMessage>);
 
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -9,13 +9,17 @@
 namespace {
 
 constexpr Duration kBeatInterval = std::chrono::milliseconds(150);
+// with many members beats to other zones are fewer, so that a VM's share does not grow with them
+constexpr Duration kBeatTimePerMember = std::chrono::milliseconds(8);
+constexpr Duration kLongestBeatInterval = std::chrono::milliseconds(300);
 // members out of touch are called on less often
 constexpr Duration kSilentBeatInterval = std::chrono::milliseconds(500);
-// four beats; shorter than a lease of one second, so that a new owner comes before runs lapse
-constexpr Duration kSilence = std::chrono::milliseconds(600);
+// shorter than a lease of one second, so that a new owner comes before runs lapse, and than the
+// second and more after which a caller hands a job in again
+constexpr int kBeatsToSilence = 4;
+constexpr Duration kLongestSilence = std::chrono::milliseconds(1000);
 // a new member is counted in for so long before its first beat: processes start within a second
 constexpr Duration kFirstTrust = std::chrono::milliseconds(1500);
-constexpr Duration kResetLinkAfter = std::chrono::milliseconds(450);
 // members that were killed together are back within a second; a cut heals in seconds
 constexpr Duration kDeputizeMostAfter = std::chrono::milliseconds(2500);
 // one that is neither listed nor heard is forgotten
@@ -54,7 +58,7 @@
   if (!is_new && member.node != beat.from()) {
     // another process at the same address
     if (beat.from().incarnation() < member.node.incarnation() && member.heard_sequence > 0 &&
-        now - member.heard_at < kSilence) {
+        now - member.heard_at < SilenceOf(member)) {
       return changes;
     }
     if (member.heard_sequence > 0) {
@@ -80,7 +84,7 @@
     member.echoed = beat.echo();
     member.echoed_at = now;
   }
-  const bool joined = !member.in_touch && now - member.echoed_at <= kSilence;
+  const bool joined = !member.in_touch && now - member.echoed_at <= SilenceOf(member);
   if (joined) member.in_touch = true;
   if (joined) changes.emplace_back(MemberChange::Kind::kJoined, member.node, "heard");
   if (beat.draining() && !member.draining) {
@@ -94,6 +98,16 @@
   return changes;
 }
 
+Duration MemberTable::BeatInterval(const Member& member) const {
+  if (member.zone == m_zone) return kBeatInterval;
+  const auto members = static_cast<std::int64_t>(m_members.size());
+  return std::clamp<Duration>(kBeatTimePerMember * members, kBeatInterval, kLongestBeatInterval);
+}
+
+Duration MemberTable::SilenceOf(const Member& member) const {
+  return std::min(kBeatsToSilence * BeatInterval(member), kLongestSilence);
+}
+
 void MemberTable::OnLinkDown(const Address& peer, Instant now) {
   std::lock_guard<std::mutex> lock(m_mutex);
   const auto found = m_members.find(peer);
@@ -122,9 +136,9 @@
     member.link_lost = false;
     if (member.in_touch) {
       const bool heard = member.heard_sequence > 0;
-      if (heard && now - member.heard_at > kSilence) {
+      if (heard && now - member.heard_at > SilenceOf(member)) {
         Lose(member, "silent", changes);
-      } else if (heard && now - member.echoed_at > kSilence) {
+      } else if (heard && now - member.echoed_at > SilenceOf(member)) {
         // a link that works one way only is of no use
         Lose(member, "deaf", changes);
       }
@@ -160,10 +174,10 @@
   std::lock_guard<std::mutex> lock(m_mutex);
   for (auto& [address, member] : m_members) {
     if (now < member.next_beat) continue;
-    member.next_beat = now + (member.in_touch ? kBeatInterval : kSilentBeatInterval);
+    member.next_beat = now + (member.in_touch ? BeatInterval(member) : kSilentBeatInterval);
     const bool deaf = member.in_touch && member.heard_sequence > 0 &&
-                      now - member.echoed_at > kResetLinkAfter &&
-                      now - member.link_reset_at > kResetLinkAfter;
+                      now - member.echoed_at > SilenceOf(member) * 3 / 4 &&
+                      now - member.link_reset_at > SilenceOf(member) * 3 / 4;
     if (deaf) member.link_reset_at = now;
     beats.emplace_back(address, ++member.sent_sequence, member.heard_sequence,
                        member.own_link_losses, deaf);
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -18,6 +18,8 @@
 constexpr Duration kTokenSkip = std::chrono::seconds(1);
 // longer than any run goes on without its coordinator's word
 constexpr Duration kKeepReleased = std::chrono::seconds(5);
+// for so long after a lost answer more are expected to be lost
+constexpr Duration kHastyTime = std::chrono::seconds(4);
 constexpr std::uint32_t kUnlimitedSlots = 1000;
 
 std::string MillisText(Duration length) {
@@ -232,6 +234,7 @@
     m_policies.outliers().OnSuccess(address);
   }
   for (std::uint32_t i = 0; i < news.failures; ++i) m_policies.outliers().OnFailure(address, now);
+  if (news.answer_lost) m_answer_lost_at = now;
   if (!news.fenced) return;
   const std::uint32_t doublings = std::min(owned.refusals, kMaxRefusalDoublings);
   const Duration pause =
@@ -302,7 +305,7 @@
   }
   if (candidates.empty()) return false;
   Owned& chosen = *owners[m_policies.choice().Choose(waiting.order(), candidates)];
-  out.emplace_back(chosen.session.Start(waiting, m_next_call++, now));
+  out.emplace_back(chosen.session.Start(waiting, m_next_call++, now, Hasty(now)));
   return true;
 }
 
@@ -311,12 +314,14 @@
     for (StopRun& stop : owned.session.DueStops(m_next_call, now)) {
       out.emplace_back(std::move(stop));
     }
-    if (auto renewal = owned.session.NextRenewal(m_next_call++, now)) {
+    if (auto renewal = owned.session.NextRenewal(m_next_call++, now, Hasty(now))) {
       out.emplace_back(std::move(*renewal));
     }
   }
 }
 
+bool OwnerShard::Hasty(Instant now) const { return now - m_answer_lost_at < kHastyTime; }
+
 void OwnerShard::Decline(const WaitingRun& waiting, const std::string& reason) {
   m_reports[waiting.coordinator()].emplace_back(waiting.order().run(), RunNews::kDeclined,
                                                 RunEnd::kAbsent, "", reason);
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -8,16 +8,15 @@
 namespace sapphireflow::detail {
 namespace {
 
-// a lost answer hides the ends on a worker for the wait and the slack; a lease has room for three
-constexpr Duration kRenewalWait = std::chrono::milliseconds(150);
+// a lost answer hides the ends on a worker for the wait and the slack; a lease has room for two
+constexpr Duration kRenewalWait = std::chrono::milliseconds(400);
 // beyond the wait: a worker answers in a millisecond, and a throttled core stalls for up to 100 ms
 constexpr Duration kRenewalSlack = std::chrono::milliseconds(100);
 constexpr Duration kStartTimeout = std::chrono::milliseconds(120);
-// for so long after a lost answer the next one is expected to be lost too, and shorter limits hold
-constexpr Duration kTroubledTime = std::chrono::seconds(3);
-constexpr Duration kTroubledWait = std::chrono::milliseconds(60);
-constexpr Duration kTroubledSlack = std::chrono::milliseconds(50);
-constexpr Duration kTroubledStartTimeout = std::chrono::milliseconds(60);
+// while answers are being lost
+constexpr Duration kHastyWait = std::chrono::milliseconds(60);
+constexpr Duration kHastySlack = std::chrono::milliseconds(50);
+constexpr Duration kHastyStartTimeout = std::chrono::milliseconds(60);
 constexpr Duration kStopTimeout = std::chrono::milliseconds(250);
 constexpr Duration kStopAgain = std::chrono::milliseconds(200);
 // how long coordinators have to claim what a new owner finds on a worker
@@ -65,7 +64,7 @@
       }));
 }
 
-StartRun WorkerSession::Start(const WaitingRun& waiting, CallNumber call, Instant now) {
+StartRun WorkerSession::Start(const WaitingRun& waiting, CallNumber call, Instant now, bool hasty) {
   Run record;
   record.coordinator = waiting.coordinator();
   record.needs = waiting.order().needs();
@@ -76,7 +75,7 @@
   m_runs[waiting.order().run()] = std::move(record);
   m_lease_sent = now;
   return {MakeCall(call, LeaseUntil(now)), waiting.order().run(), waiting.payload(),
-          Troubled(now) ? kTroubledStartTimeout : kStartTimeout};
+          hasty ? kHastyStartTimeout : kStartTimeout};
 }
 
 void WorkerSession::OnStartReply(const StartReplied& reply, CallNumber newest_call, Instant now,
@@ -97,7 +96,7 @@
     case CallOutcome::kUnknown:
       // the run keeps its room until a renewal under a higher token shows what became of it
       m_suspect = true;
-      m_trouble_at = now;
+      news.answer_lost = true;
       if (++m_lost_starts >= kLostStartsForFailure) ++news.failures;
       return;
     case CallOutcome::kOtherLife:
@@ -172,14 +171,12 @@
       ++m_missed;
       m_suspect = true;
       m_renew_now = !NewerRenewalUnderWay(reply.call());
-      m_trouble_at = now;
+      news.answer_lost = true;
       // once at once: a single answer may be lost
       m_renew_at = m_missed == 1 ? now : now + std::min(kLongestPause, PauseAfter(m_missed));
   }
 }
 
-bool WorkerSession::Troubled(Instant now) const { return now - m_trouble_at < kTroubledTime; }
-
 bool WorkerSession::NewerRenewalUnderWay(CallNumber call) const {
   return !m_renewals.empty() && m_renewals.rbegin()->first > call;
 }
@@ -354,7 +351,7 @@
   m_lease_sent = now;
 }
 
-std::optional<RenewLease> WorkerSession::NextRenewal(CallNumber call, Instant now) {
+std::optional<RenewLease> WorkerSession::NextRenewal(CallNumber call, Instant now, bool hasty) {
   if (m_phase == Phase::kFenced || !m_renew_now || now < m_renew_at) return std::nullopt;
   m_renew_now = false;
   m_renewals.emplace(call, now);
@@ -364,11 +361,10 @@
   // a worker that does not answer is only asked, so that the lease of its runs has an end
   const bool prolong = adopted && m_phase == Phase::kHeld && !m_suspect;
   if (prolong) m_lease_sent = now;
-  const bool troubled = Troubled(now);
-  const Duration usual_wait = troubled ? kTroubledWait : kRenewalWait;
+  const Duration usual_wait = hasty ? kHastyWait : kRenewalWait;
   const Duration wait = m_phase == Phase::kHeld && !m_suspect ? usual_wait : Duration::zero();
   return RenewLease(MakeCall(call, prolong ? LeaseUntil(now) : 0), m_acknowledged, wait,
-                    wait + (troubled ? kTroubledSlack : kRenewalSlack));
+                    wait + (hasty ? kHastySlack : kRenewalSlack));
 }
 
 std::vector<StopRun> WorkerSession::DueStops(std::atomic<CallNumber>& next_call, Instant now) {
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t kJobShards = 4;
 // a service's workers and waiting runs share one lock
 constexpr std::size_t kOwnerShards = 2;
+// news of runs carry what their owner offers too; this is for members that have none
+constexpr Duration kRoomInterval = std::chrono::milliseconds(200);
 // after the lapse of a lease: how long an owner out of touch may go on renewing it, until it finds
 // that it has lost its coordinator too
 constexpr Duration kSilentOwnerTime = std::chrono::milliseconds(650);
@@ -143,6 +145,7 @@
   ToAllJobs(JobTick(), pass);
   Drain(pass);
   SendBeats(pass);
+  SendRooms(pass);
 }
 
 void DispatchNode::Take(const StopPlanned& /*event*/, Pass& pass) {
@@ -152,6 +155,8 @@
   m_rooms.Forget(m_self);
   Drain(pass);
   SendBeats(pass);
+  m_rooms_sent_at = 0;
+  SendRooms(pass);
 }
 
 void DispatchNode::Take(const IntakeClosed& /*event*/, Pass& /*pass*/) { m_intake_closed = true; }
@@ -182,19 +187,18 @@
 void DispatchNode::Receive(const MemberBeat& message, Pass& pass) {
   m_tokens.Seen(message.token_floor());
   Follow(m_members.OnBeat(message, pass.now), pass);
-  if (message.draining()) {
-    m_rooms.Forget(message.from());
-  } else {
-    m_rooms.KeepServices(message.from(), message.digests());
-    for (const RoomDigest& digest : message.digests()) {
-      m_rooms.Update(message.from(), message.zone(), digest);
-    }
-  }
   if (message.configuration_version() > m_configuration.version()) {
     pass.out.emplace_back(SendMessage(message.from().address(), ConfigurationRequest(m_self)));
   }
 }
 
+void DispatchNode::Receive(const RoomNotice& message, Pass& /*pass*/) {
+  m_rooms.KeepServices(message.owner(), message.digests());
+  for (const RoomDigest& digest : message.digests()) {
+    m_rooms.Update(message.owner(), message.zone(), digest);
+  }
+}
+
 void DispatchNode::Receive(const ConfigurationRequest& message, Pass& pass) {
   if (const auto current = m_configuration.current()) {
     pass.out.emplace_back(SendMessage(message.from().address(), ConfigurationCopy(current)));
@@ -248,16 +252,25 @@
 void DispatchNode::SendBeats(Pass& pass) {
   const auto beats = m_members.DueBeats(pass.now);
   if (beats.empty()) return;
-  const auto digests = m_draining ? std::vector<RoomDigest>() : Digests();
   for (const BeatAddress& beat : beats) {
     if (beat.reset_link()) pass.out.emplace_back(ResetLink(beat.to()));
     pass.out.emplace_back(SendMessage(
-        beat.to(),
-        MemberBeat(m_self, m_zone, m_draining, beat.sequence(), beat.echo(), beat.link_losses(),
-                   m_configuration.version(), m_tokens.highest(), digests)));
+        beat.to(), MemberBeat(m_self, m_zone, m_draining, beat.sequence(), beat.echo(),
+                              beat.link_losses(), m_configuration.version(), m_tokens.highest())));
   }
 }
 
+void DispatchNode::SendRooms(Pass& pass) {
+  const Instant::rep now = pass.now.time_since_epoch().count();
+  if (now - m_rooms_sent_at < kRoomInterval.count()) return;
+  m_rooms_sent_at = now;
+  std::vector<Address> to;
+  for (const NodeId& member : m_members.InTouch()) to.push_back(member.address());
+  if (to.empty()) return;
+  const auto digests = m_draining ? std::vector<RoomDigest>() : Digests();
+  pass.out.emplace_back(SendMessage(std::move(to), RoomNotice(m_self, m_zone, digests)));
+}
+
 std::vector<RoomDigest> DispatchNode::Digests() const {
   std::vector<RoomDigest> digests;
   for (const auto& shard : m_owners) {
--- a/src/transport/dispatch_runner.cc
+++ b/src/transport/dispatch_runner.cc
@@ -49,7 +49,8 @@
 }
 
 void DispatchRunner::Run(const SendMessage& effect) {
-  m_links.Send(effect.to(), EncodeDispatchMessage(effect.message()));
+  const std::string bytes = EncodeDispatchMessage(effect.message());
+  for (const Address& to : effect.to()) m_links.Send(to, bytes);
 }
 
 void DispatchRunner::Run(const ResetLink& effect) { m_links.Reset(effect.peer()); }
--- a/tests/unit/unit-member_table.cpp
+++ b/tests/unit/unit-member_table.cpp
@@ -20,7 +20,7 @@
 MemberBeat Beat(const NodeId& from, std::uint64_t sequence, std::uint64_t echo,
                 const std::string& zone = "celaya", bool draining = false,
                 std::uint64_t link_losses = 0) {
-  return {from, zone, draining, sequence, echo, link_losses, 0, 0, {}};
+  return {from, zone, draining, sequence, echo, link_losses, 0, 0};
 }
 
 WorkerListings Workers(const std::string& zone, std::uint32_t count) {
