Spread runs over owners that offer the same

Cause: at 38 VMs all coordinators see the same digests and send to the owner of the fastest free worker, where runs queue for 25 ms and go elsewhere. Change: each offer's cost grows by up to its run time times owners/60 (at most 0.6), differently by job.

--- a/src/dispatch/room_board.cc
+++ b/src/dispatch/room_board.cc
@@ -11,8 +11,19 @@
 constexpr Duration kInZoneDistance = std::chrono::milliseconds(1);
 constexpr Duration kCrossZoneDistance = std::chrono::milliseconds(3);
 // a run that finds no room waits at least about so long for the next end
+// share of the run time by which offers are made unequal for different jobs, when there are many
+// owners: coordinators that see the same offers would otherwise all take the same one
+constexpr double kLargestSpread = 0.6;
+constexpr double kSpreadPerOwner = 1.0 / 60;
 constexpr Duration kShortestQueueWait = std::chrono::milliseconds(15);
 
+// a number from 0 to 1 that differs by job and owner
+double Chance(JobKey job, const NodeId& owner) {
+  const std::size_t mixed = detail::MixHash(owner.address().number(), job * 0x9e3779b97f4a7c15ULL);
+  constexpr std::size_t kSteps = 1U << 16;
+  return static_cast<double>((mixed >> 20) % kSteps) / kSteps;
+}
+
 }  // namespace
 
 RoomBoard::RoomBoard(const NodeId& self, std::string zone, std::unique_ptr<OwnerChoice> choice)
@@ -71,13 +82,17 @@
   std::optional<OwnerOffer> best;
   Entry* best_entry = nullptr;
   std::optional<std::size_t> best_room;
+  const double spread =
+      std::min(kLargestSpread, kSpreadPerOwner * static_cast<double>(m_entries.size()));
   for (auto& [key, entry] : m_entries) {
     if (key.second != service || entry.milli_cores <= 0) continue;
     const auto room = BestRoom(entry, order);
     const double slowness = room ? entry.rooms[*room].slowness() : 1.0;
     const Duration wait = room ? Duration::zero() : entry.wait + kShortestQueueWait;
-    const OwnerOffer offer(key.first, DistanceTo(key.first, entry), room.has_value(), wait,
-                           FromMillis(ToMillis(order.estimate()) * slowness));
+    const double run_ms = ToMillis(order.estimate()) * slowness;
+    const double spread_ms = run_ms * spread * Chance(order.run().task().job(), key.first);
+    const OwnerOffer offer(key.first, DistanceTo(key.first, entry) + FromMillis(spread_ms),
+                           room.has_value(), wait, FromMillis(run_ms));
     if (best && m_choice->Cost(*best) <= m_choice->Cost(offer)) continue;
     best = offer;
     best_entry = &entry;
