Date orders by echo; count the lease of an adopted run from its adoption

Ruled out: the client's resend (one coordinator throughout), the deputy's stop of what nobody adopts. Change: orders carry the newest beat heard from their owner, which declines what is older than 1.2 s by its own clock; an owner that did not run for 0.5 s declines what waits; a coordinator places nothing for a job whose caller's time has passed; the clock counts suspended time. Tests in unit-owner_shard.cpp and unit-member_table.cpp.

--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -56,14 +56,21 @@
  public:
   PlaceRuns(const NodeId& coordinator, std::string service,
             std::shared_ptr<const std::string> payload, Duration objective_left,
-            Duration useful_left, std::uint32_t priority, std::vector<RunOrder> runs)
+            Duration useful_left, std::uint32_t priority, std::vector<RunOrder> runs,
+            std::uint64_t echo = 0)
       : m_coordinator(coordinator),
         m_service(std::move(service)),
         m_payload(std::move(payload)),
         m_objective_left(objective_left),
         m_useful_left(useful_left),
         m_priority(priority),
-        m_runs(std::move(runs)) {}
+        m_runs(std::move(runs)),
+        m_echo(echo) {}
+  /// @brief The same order with an echo.
+  PlaceRuns WithEcho(std::uint64_t echo) const {
+    return {m_coordinator, m_service,  m_payload, m_objective_left,
+            m_useful_left, m_priority, m_runs,    echo};
+  }
   const NodeId& coordinator() const { return m_coordinator; }
   const std::string& service() const { return m_service; }
   const std::shared_ptr<const std::string>& payload() const { return m_payload; }
@@ -73,9 +80,12 @@
   Duration useful_left() const { return m_useful_left; }
   std::uint32_t priority() const { return m_priority; }
   const std::vector<RunOrder>& runs() const { return m_runs; }
+  /// @brief Sequence of the newest beat that the coordinator got from the owner: tells the owner
+  /// how old the order may be, by its own clock.
+  std::uint64_t echo() const { return m_echo; }
   auto Fields() const {
     return std::tie(m_coordinator, m_service, *m_payload, m_objective_left, m_useful_left,
-                    m_priority, m_runs);
+                    m_priority, m_runs, m_echo);
   }
 
  private:
@@ -87,6 +97,7 @@
   Duration m_useful_left;
   std::uint32_t m_priority;
   std::vector<RunOrder> m_runs;
+  std::uint64_t m_echo;
 };
 
 /// @brief Coordinator to owner: these runs are not wanted any more; stop what runs.
@@ -109,21 +120,28 @@
 class AdoptRun : public Comparable<AdoptRun> {
  public:
   AdoptRun(const NodeId& coordinator, std::string service, WorkerId worker, const RunKey& run,
-           const Resources& needs, Duration estimate)
+           const Resources& needs, Duration estimate, std::uint64_t echo = 0)
       : m_coordinator(coordinator),
         m_service(std::move(service)),
         m_worker(std::move(worker)),
         m_run(run),
         m_needs(needs),
-        m_estimate(estimate) {}
+        m_estimate(estimate),
+        m_echo(echo) {}
+  /// @brief The same request with an echo.
+  AdoptRun WithEcho(std::uint64_t echo) const {
+    return {m_coordinator, m_service, m_worker, m_run, m_needs, m_estimate, echo};
+  }
   const NodeId& coordinator() const { return m_coordinator; }
   const std::string& service() const { return m_service; }
   const WorkerId& worker() const { return m_worker; }
   const RunKey& run() const { return m_run; }
   const Resources& needs() const { return m_needs; }
   Duration estimate() const { return m_estimate; }
+  /// @brief As for `PlaceRuns`.
+  std::uint64_t echo() const { return m_echo; }
   auto Fields() const {
-    return std::tie(m_coordinator, m_service, m_worker, m_run, m_needs, m_estimate);
+    return std::tie(m_coordinator, m_service, m_worker, m_run, m_needs, m_estimate, m_echo);
   }
 
  private:
@@ -133,6 +151,7 @@
   RunKey m_run;
   Resources m_needs;
   Duration m_estimate;
+  std::uint64_t m_echo;
 };
 
 /// @brief What an owner has to say of a run.
--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -3,6 +3,7 @@
 #define SAPPHIREFLOW_MEMBERSHIP_MEMBER_TABLE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -96,6 +97,11 @@
   void SetDraining();
   void SetWorkers(const WorkerListings& workers);
 
+  /// @return sequence of the newest beat heard from a member; 0 for none.
+  std::uint64_t HeardSequence(const NodeId& member) const;
+  /// @brief Whether an order that carries this echo was sent not long ago, by this VM's clock: a
+  /// cut and a freeze hold messages up for seconds.
+  bool IsFresh(const NodeId& sender, std::uint64_t echo, Instant now) const;
   /// @brief The beats that are due now.
   std::vector<BeatAddress> DueBeats(Instant now);
   /// @return the workers that this VM commands. Complexity: workers times members of a zone.
@@ -122,6 +128,8 @@
     Instant next_beat{};
     std::uint64_t heard_sequence = 0;
     std::uint64_t sent_sequence = 0;
+    // the newest beats sent, with their times
+    std::deque<std::pair<std::uint64_t, Instant>> sent;
     std::uint64_t echoed = 0;
     Instant echoed_at{};
     Instant link_reset_at{};
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -83,6 +83,7 @@
   bool MayTake(const Owned& owned, const WaitingRun& waiting, Instant now) const;
   void Upkeep(Instant now, OwnerEffects& out);
   void Decline(const WaitingRun& waiting, const std::string& reason);
+  void DeclineAll(const std::string& reason);
   bool Hasty(Instant now) const;
   void FlushReports(OwnerEffects& out);
   std::vector<RoomDigest> DigestsLocked() const;
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -89,6 +89,9 @@
   void Drain(Pass& pass);
   void RunJobs(const ForJobs& work, Pass& pass);
   void RunOwners(const ForOwners& work, Pass& pass);
+  void ToOwnShard(const DispatchMessage& message, Pass& pass) const;
+  // the message with what tells its owner how old it may be
+  DispatchMessage Stamped(const TellOwner& tell) const;
   void SpreadReports(const RunReports& reports, Pass& pass);
   void ToAllJobs(const JobEvent& event, Pass& pass) const;
   void ToAllOwners(const OwnerEvent& event, Pass& pass) const;
--- a/include/sapphireflow/transport/clock.h
+++ b/include/sapphireflow/transport/clock.h
@@ -2,6 +2,8 @@
 #ifndef SAPPHIREFLOW_TRANSPORT_CLOCK_H_
 #define SAPPHIREFLOW_TRANSPORT_CLOCK_H_
 
+#include <ctime>
+
 #include "sapphireflow/model/time.h"
 
 namespace sapphireflow {
@@ -13,20 +15,25 @@
   virtual Instant Now() const = 0;
 };
 
-/// @brief The time of day at construction plus steady time since: it never steps back.
+/// @brief The time of day at construction plus the time since, which never steps back and counts
+/// the time that the machine was suspended.
 class MonotonicClock : public Clock {
  public:
   MonotonicClock()
       : m_wall_start(std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now())),
-        m_steady_start(std::chrono::steady_clock::now()) {}
-  Instant Now() const override {
-    return m_wall_start +
-           std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_steady_start);
-  }
+        m_boot_start(SinceBoot()) {}
+  Instant Now() const override { return m_wall_start + (SinceBoot() - m_boot_start); }
 
  private:
+  static Duration SinceBoot() {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) +
+                                                std::chrono::nanoseconds(time.tv_nsec));
+  }
+
   const Instant m_wall_start;
-  const std::chrono::steady_clock::time_point m_steady_start;
+  const Duration m_boot_start;
 };
 
 }  // namespace sapphireflow
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -109,8 +109,8 @@
 
 Json Body(const PlaceRuns& m) {
   return {
-      detail::Write(m.coordinator()), m.service(),  *m.payload(),      Write(m.objective_left()),
-      Write(m.useful_left()),         m.priority(), WriteAll(m.runs())};
+      detail::Write(m.coordinator()), m.service(),  *m.payload(),       Write(m.objective_left()),
+      Write(m.useful_left()),         m.priority(), WriteAll(m.runs()), m.echo()};
 }
 Json Body(const CancelRuns& m) {
   return {detail::Write(m.coordinator()), m.service(), WriteAll(m.runs())};
@@ -121,7 +121,8 @@
           m.worker(),
           Write(m.run()),
           Write(m.needs()),
-          Write(m.estimate())};
+          Write(m.estimate()),
+          m.echo()};
 }
 Json Body(const RunReports& m) {
   return {detail::Write(m.owner()), WriteAll(m.reports()), WriteAll(m.digests())};
@@ -149,7 +150,7 @@
   return PlaceRuns(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
                    std::make_shared<const std::string>(j.at(2).get<std::string>()),
                    ReadDuration(j.at(3)), ReadDuration(j.at(4)), j.at(5).get<std::uint32_t>(),
-                   ReadList(j.at(6), ReadOrder));
+                   ReadList(j.at(6), ReadOrder), j.at(7).get<std::uint64_t>());
 }
 DispatchMessage ReadCancel(const Json& j) {
   return CancelRuns(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
@@ -158,7 +159,7 @@
 DispatchMessage ReadAdopt(const Json& j) {
   return AdoptRun(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
                   j.at(2).get<std::string>(), ReadRun(j.at(3)), ReadResources(j.at(4)),
-                  ReadDuration(j.at(5)));
+                  ReadDuration(j.at(5)), j.at(6).get<std::uint64_t>());
 }
 DispatchMessage ReadReports(const Json& j) {
   return RunReports(detail::ReadNodeId(j.at(0)), ReadList(j.at(1), ReadReport),
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -168,6 +168,8 @@
 void JobShard::PlaceReady(Job& job, Instant now, JobEffects& out) {
   if (job.closing || job.refusing) return;
   const JobOrder& order = *job.order;
+  // after a stall of this process the caller may have handed the job in elsewhere
+  if (now - job.received_at >= order.patience()) return;
   Batches batches;
   for (std::uint32_t s = 0; s < job.tasks.size(); ++s) {
     const StepSpec& step = order.steps()[s];
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -22,6 +22,9 @@
 constexpr Duration kFirstTrust = std::chrono::milliseconds(1500);
 // members that were killed together are back within a second; a cut heals in seconds
 constexpr Duration kDeputizeMostAfter = std::chrono::milliseconds(2500);
+// a coordinator that hears nothing of an owner places its runs again after two seconds and more
+constexpr Duration kOldestOrder = std::chrono::milliseconds(1200);
+constexpr std::size_t kBeatsRemembered = 16;
 // one that is neither listed nor heard is forgotten
 constexpr Duration kForgetAfter = std::chrono::seconds(15);
 
@@ -68,6 +71,7 @@
     fresh.listed = member.listed;
     // our beats to this address may have reached the new process before: they go on counting
     fresh.sent_sequence = member.sent_sequence;
+    fresh.sent = member.sent;
     member = fresh;
   }
   const bool first = member.heard_sequence == 0;
@@ -169,6 +173,22 @@
   for (const WorkerListing& worker : workers) m_workers.emplace(worker.id(), worker);
 }
 
+std::uint64_t MemberTable::HeardSequence(const NodeId& member) const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_members.find(member.address());
+  return found == m_members.end() ? 0 : found->second.heard_sequence;
+}
+
+bool MemberTable::IsFresh(const NodeId& sender, std::uint64_t echo, Instant now) const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_members.find(sender.address());
+  if (found == m_members.end()) return false;
+  const auto& sent = found->second.sent;
+  const auto beat = std::find_if(sent.begin(), sent.end(),
+                                 [echo](const auto& item) { return item.first == echo; });
+  return beat != sent.end() && now - beat->second <= kOldestOrder;
+}
+
 std::vector<BeatAddress> MemberTable::DueBeats(Instant now) {
   std::vector<BeatAddress> beats;
   std::lock_guard<std::mutex> lock(m_mutex);
@@ -179,6 +199,8 @@
                       now - member.echoed_at > SilenceOf(member) * 3 / 4 &&
                       now - member.link_reset_at > SilenceOf(member) * 3 / 4;
     if (deaf) member.link_reset_at = now;
+    member.sent.emplace_back(member.sent_sequence + 1, now);
+    if (member.sent.size() > kBeatsRemembered) member.sent.pop_front();
     beats.emplace_back(address, ++member.sent_sequence, member.heard_sequence,
                        member.own_link_losses, deaf);
   }
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -20,6 +20,7 @@
 constexpr Duration kKeepReleased = std::chrono::seconds(5);
 // for so long after a lost answer more are expected to be lost
 constexpr Duration kHastyTime = std::chrono::seconds(4);
+constexpr Duration kStall = std::chrono::milliseconds(500);
 constexpr std::uint32_t kUnlimitedSlots = 1000;
 
 std::string MillisText(Duration length) {
@@ -41,6 +42,9 @@
 OwnerEffects OwnerShard::Apply(const OwnerInput& in) {
   OwnerEffects out;
   std::lock_guard<std::mutex> lock(m_mutex);
+  // ticks come every 50 ms: after a gap this process did not run, and what waits may have been
+  // placed elsewhere since
+  if (in.now() - m_now > kStall) DeclineAll("stalled");
   m_now = in.now();
   std::visit([&](const auto& event) { On(event, in.now(), out); }, in.event());
   StartWaiting(in.now(), out);
@@ -327,6 +331,11 @@
                                                 RunEnd::kAbsent, "", reason);
 }
 
+void OwnerShard::DeclineAll(const std::string& reason) {
+  for (const WaitingRun& waiting : m_waiting) Decline(waiting, reason);
+  m_waiting.clear();
+}
+
 void OwnerShard::FlushReports(OwnerEffects& out) {
   for (auto& [coordinator, reports] : m_reports) {
     if (!reports.empty()) out.emplace_back(ReportRuns(coordinator, std::move(reports)));
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -269,8 +269,10 @@
     Tell(adoption.run(), record, RunNews::kEnded, end, "adopted", news);
     return true;
   }
-  // Another owner may have started it since our last answer from the worker. An answer under a
-  // token above all that it used decides; until then the run counts as one that may start.
+  // Another owner may have started it since our last answer from the worker, and prolonged the
+  // lease until now. An answer under a token above all that it used decides; until then the run
+  // counts as one that may start.
+  m_lease_sent = now;
   m_runs[adoption.run()] = std::move(record);
   return m_phase == Phase::kTaking;
 }
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -162,7 +162,20 @@
 void DispatchNode::Take(const IntakeClosed& /*event*/, Pass& /*pass*/) { m_intake_closed = true; }
 
 void DispatchNode::Receive(const PlaceRuns& message, Pass& pass) {
-  pass.work.emplace_back(ForOwners{OwnerShardOf(message.service()), message});
+  if (m_members.IsFresh(message.coordinator(), message.echo(), pass.now)) {
+    pass.work.emplace_back(ForOwners{OwnerShardOf(message.service()), message});
+    return;
+  }
+  std::vector<RunReport> reports;
+  for (const RunOrder& order : message.runs()) {
+    reports.emplace_back(order.run(), RunNews::kDeclined, RunEnd::kAbsent, "", "order_too_old");
+  }
+  pass.out.emplace_back(LogEvent(LogLevel::kWarning, "order_too_old",
+                                 {{"coordinator", message.coordinator().text()},
+                                  {"runs", std::to_string(reports.size())},
+                                  {"echo", std::to_string(message.echo())}}));
+  pass.out.emplace_back(SendMessage(message.coordinator().address(),
+                                    RunReports(m_self, std::move(reports), Digests())));
 }
 
 void DispatchNode::Receive(const CancelRuns& message, Pass& pass) {
@@ -174,6 +187,8 @@
 }
 
 void DispatchNode::Receive(const AdoptRun& message, Pass& pass) {
+  // the coordinator asks again while it wants the run
+  if (!m_members.IsFresh(message.coordinator(), message.echo(), pass.now)) return;
   pass.work.emplace_back(ForOwners{OwnerShardOf(message.service()), message});
 }
 
@@ -295,9 +310,9 @@
   for (JobEffect& effect : m_jobs[work.shard]->Apply(JobInput(pass.now, work.event))) {
     if (auto* tell = std::get_if<TellOwner>(&effect)) {
       if (tell->owner() == m_self) {
-        Take(tell->message(), pass);
+        ToOwnShard(tell->message(), pass);
       } else {
-        pass.out.emplace_back(SendMessage(tell->owner().address(), tell->message()));
+        pass.out.emplace_back(SendMessage(tell->owner().address(), Stamped(*tell)));
       }
     } else if (auto* answer = std::get_if<AnswerWork>(&effect)) {
       pass.out.emplace_back(std::move(*answer));
@@ -307,6 +322,23 @@
   }
 }
 
+void DispatchNode::ToOwnShard(const DispatchMessage& message, Pass& pass) const {
+  if (const auto* place = std::get_if<PlaceRuns>(&message)) {
+    pass.work.emplace_back(ForOwners{OwnerShardOf(place->service()), *place});
+  } else if (const auto* cancel = std::get_if<CancelRuns>(&message)) {
+    pass.work.emplace_back(ForOwners{OwnerShardOf(cancel->service()), *cancel});
+  } else if (const auto* adopt = std::get_if<AdoptRun>(&message)) {
+    pass.work.emplace_back(ForOwners{OwnerShardOf(adopt->service()), *adopt});
+  }
+}
+
+DispatchMessage DispatchNode::Stamped(const TellOwner& tell) const {
+  const std::uint64_t echo = m_members.HeardSequence(tell.owner());
+  if (const auto* place = std::get_if<PlaceRuns>(&tell.message())) return place->WithEcho(echo);
+  if (const auto* adopt = std::get_if<AdoptRun>(&tell.message())) return adopt->WithEcho(echo);
+  return tell.message();
+}
+
 void DispatchNode::RunOwners(const ForOwners& work, Pass& pass) {
   OwnerShard& shard = *m_owners[work.shard];
   OwnerEffects effects = shard.Apply(OwnerInput(pass.now, work.event));
--- a/tests/unit/unit-member_table.cpp
+++ b/tests/unit/unit-member_table.cpp
@@ -162,3 +162,18 @@
     CHECK_FALSE(Has(table.OnTick(now), MemberChange::Kind::kLost));
   }
 }
+
+// Found on the users' bench: a frozen owner woke up and started runs by orders that had waited in
+// its sockets, while their coordinators had placed them elsewhere.
+TEST_CASE("orders are fresh while their echo is of a beat sent not long ago") {
+  MemberTable table(kSelf, "celaya");
+  table.OnBeat(Beat(Node(2), 1, 0), kStart);
+  CHECK_FALSE(table.IsFresh(Node(2), 0, kStart));
+  std::uint64_t sequence = 0;
+  for (const BeatAddress& beat : table.DueBeats(kStart)) sequence = beat.sequence();
+  CHECK(table.IsFresh(Node(2), sequence, kStart + Millis(1000)));
+  CHECK_FALSE(table.IsFresh(Node(2), sequence, kStart + Millis(4000)));
+  CHECK_FALSE(table.IsFresh(Node(2), sequence + 1, kStart));
+  CHECK_FALSE(table.IsFresh(Node(3), sequence, kStart));
+  CHECK(table.HeardSequence(Node(2)) == 1);
+}
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -355,3 +355,39 @@
   const auto ahead_ms = static_cast<std::int64_t>((fence("w1") - first) >> kOwnerBits) - 20 * 6000;
   CHECK(ahead_ms < 2000);
 }
+
+TEST_CASE("an owner that did not run for a while declines what waits") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0, 1, 2});
+  REQUIRE(owner.starts.size() == 2);
+  owner.now += Millis(3000);
+  owner.AnswerRenewal({},
+                      {EndedRun(1, Run(0), RunEnd::kLapsed), EndedRun(2, Run(1), RunEnd::kLapsed)});
+  CHECK(owner.starts.size() == 2);
+  REQUIRE(owner.ReportOf(Run(2)));
+  CHECK(owner.ReportOf(Run(2))->news() == RunNews::kDeclined);
+}
+
+// Found on the users' bench: an owner that had been frozen adopted a run that its deputy had just
+// started, and called it lapsed by the lease that it had asked for itself, seconds ago.
+TEST_CASE("the lease of an adopted run counts from its adoption") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  const auto lose_answer = [&owner] {
+    const RenewLease renewal = owner.renewals.back();
+    owner.Feed(RenewalReplied("w1", renewal.call().token(), renewal.call().number(),
+                              CallOutcome::kUnknown, std::nullopt));
+  };
+  owner.now += Millis(4000);
+  lose_answer();
+  owner.Feed(owner.Adoption(0));
+  lose_answer();
+  owner.now += Millis(50);
+  owner.Feed(OwnerTick());
+  CHECK_FALSE(owner.ReportOf(Run(0)));
+  owner.now += Millis(1010);
+  owner.Feed(OwnerTick());
+  REQUIRE(owner.ReportOf(Run(0)));
+  CHECK(owner.ReportOf(Run(0))->end() == RunEnd::kLapsed);
+}
