--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -5,7 +5,6 @@
 #include <tclap/CmdLine.h>
 
 #include <csignal>
-#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -27,8 +26,6 @@
 
 constexpr int kCouldNotStart = 1;
 constexpr int kWrongUsage = 2;
-// names the settings file, as the platform's pages say
-constexpr char kSettingsVariable[] = "SAPPHIREFLOW_CONFIG";
 constexpr char kStandardOutput[] = "-";
 
 sapphireflow::Checked<PlatformSettings> Load(const std::string& file) {
@@ -90,11 +87,9 @@
   try {
     TCLAP::CmdLine command("Dispatch node of sapphireflow on the users' platform.", ' ',
                            SAPPHIREFLOW_VERSION);
-    const char* from_environment = std::getenv(kSettingsVariable);
     TCLAP::ValueArg<std::string> file(
-        "s", "settings",
-        std::string("settings file; else the one that ") + kSettingsVariable + " names", false,
-        from_environment != nullptr ? from_environment : "", "file", command);
+        "s", "settings", "settings file; else the one that the environment names", false,
+        sapphireflow::platform::SettingsFileFromEnvironment(), "file", command);
     TCLAP::SwitchArg check("c", "check", "check the settings and exit", command);
     command.parse(argc, argv);
     const auto settings = Load(file.getValue());
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -46,7 +46,7 @@
  public:
   /// All references outlive the shard.
   OwnerShard(const NodeId& self, const LeaseLimits& limits, OwnerPolicies policies,
-             FencingTokens& tokens, std::atomic<CallNumber>& next_call, const RoomBoard& peers);
+             TokenSource& tokens, std::atomic<CallNumber>& next_call, const RoomBoard& peers);
 
   OwnerEffects Apply(const OwnerInput& in) override;
 
@@ -90,7 +90,7 @@
 
   const NodeId m_self;
   const LeaseLimits m_limits;
-  FencingTokens& m_tokens;
+  TokenSource& m_tokens;
   std::atomic<CallNumber>& m_next_call;
   const RoomBoard& m_peers;
 
--- a/include/sapphireflow/ownership/ownership_event.h
+++ b/include/sapphireflow/ownership/ownership_event.h
@@ -14,7 +14,7 @@
 #include "sapphireflow/dispatch/dispatch_message.h"
 #include "sapphireflow/model/worker_state.h"
 #include "sapphireflow/observe/event_log.h"
-#include "sapphireflow/ownership/fencing_tokens.h"
+#include "sapphireflow/ownership/token_source.h"
 
 namespace sapphireflow {
 
--- a/include/sapphireflow/ownership/fencing_tokens.h
+++ b/include/sapphireflow/ownership/token_source.h
@@ -1,6 +1,6 @@
 // Part of ownership: fencing tokens that rise and that no two owners share.
-#ifndef SAPPHIREFLOW_OWNERSHIP_FENCING_TOKENS_H_
-#define SAPPHIREFLOW_OWNERSHIP_FENCING_TOKENS_H_
+#ifndef SAPPHIREFLOW_OWNERSHIP_TOKEN_SOURCE_H_
+#define SAPPHIREFLOW_OWNERSHIP_TOKEN_SOURCE_H_
 
 #include <cstdint>
 #include <mutex>
@@ -14,9 +14,9 @@
 
 /// @brief Issues tokens: a counter that follows the time of day, and the owner's number.
 /// Thread-safe.
-class FencingTokens {
+class TokenSource {
  public:
-  explicit FencingTokens(const NodeId& owner);
+  explicit TokenSource(const NodeId& owner);
   /// @return a token above all issued or seen before. Complexity: constant.
   FencingToken Next(Instant now);
   /// @brief Takes note of a token that another owner uses.
@@ -34,4 +34,4 @@
 
 }  // namespace sapphireflow
 
-#endif  // SAPPHIREFLOW_OWNERSHIP_FENCING_TOKENS_H_
+#endif  // SAPPHIREFLOW_OWNERSHIP_TOKEN_SOURCE_H_
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -102,7 +102,7 @@
 
   const NodeId m_self;
   const std::string m_zone;
-  FencingTokens m_tokens;
+  TokenSource m_tokens;
   std::atomic<CallNumber> m_next_call{1};
   std::atomic<bool> m_draining{false};
   // microseconds since the epoch
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -30,7 +30,7 @@
 }  // namespace
 
 OwnerShard::OwnerShard(const NodeId& self, const LeaseLimits& limits, OwnerPolicies policies,
-                       FencingTokens& tokens, std::atomic<CallNumber>& next_call,
+                       TokenSource& tokens, std::atomic<CallNumber>& next_call,
                        const RoomBoard& peers)
     : m_self(self),
       m_limits(limits),
--- a/src/ownership/fencing_tokens.cc
+++ b/src/ownership/token_source.cc
@@ -1,5 +1,5 @@
 // Part of ownership: fencing tokens.
-#include "sapphireflow/ownership/fencing_tokens.h"
+#include "sapphireflow/ownership/token_source.h"
 
 #include <algorithm>
 #include <functional>
@@ -13,27 +13,27 @@
 
 }  // namespace
 
-FencingTokens::FencingTokens(const NodeId& owner)
+TokenSource::TokenSource(const NodeId& owner)
     : m_owner_bits(detail::MixHash(std::hash<Address>()(owner.address()), owner.incarnation()) &
                    kOwnerMask) {}
 
-FencingToken FencingTokens::Next(Instant now) {
+FencingToken TokenSource::Next(Instant now) {
   std::lock_guard<std::mutex> lock(m_mutex);
   m_counter = std::max(m_counter + 1, static_cast<std::uint64_t>(ToUnixMillis(now)));
   return (m_counter << kOwnerBits) | m_owner_bits;
 }
 
-void FencingTokens::Seen(FencingToken token) {
+void TokenSource::Seen(FencingToken token) {
   std::lock_guard<std::mutex> lock(m_mutex);
   m_counter = std::max(m_counter, token >> kOwnerBits);
 }
 
-void FencingTokens::SkipAhead(Duration by) {
+void TokenSource::SkipAhead(Duration by) {
   std::lock_guard<std::mutex> lock(m_mutex);
   m_counter += static_cast<std::uint64_t>(ToMillis(by));
 }
 
-FencingToken FencingTokens::highest() const {
+FencingToken TokenSource::highest() const {
   std::lock_guard<std::mutex> lock(m_mutex);
   return m_counter << kOwnerBits;
 }
--- a/tests/unit/unit-layers.cpp
+++ b/tests/unit/unit-layers.cpp
@@ -10,7 +10,7 @@
   int files = 0;
   for (const std::string root : {"/include/sapphireflow/", "/src/"}) {
     for (const char* room : {"model", "pipeline", "admission", "queueing", "placement", "execution",
-                             "membership", "routing"}) {
+                             "membership", "routing", "ownership", "dispatch"}) {
       const std::filesystem::path folder = SOURCE_ROOT + root + room;
       if (!std::filesystem::exists(folder)) continue;
       for (const auto& item : std::filesystem::recursive_directory_iterator(folder)) {
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -108,7 +108,7 @@
 
  private:
   RoomBoard m_board;
-  FencingTokens m_tokens;
+  TokenSource m_tokens;
   std::atomic<CallNumber> m_next_call{1};
   OwnerShard m_shard;
 };
