--- a/src/dispatch/room_board.cc
+++ b/src/dispatch/room_board.cc
@@ -7,9 +7,9 @@
 namespace sapphireflow {
 namespace {
 
-// round trips by the platform's net, and what the work of sending costs beyond them
+// the round trip within a zone; across zones what a cut may cost counts for more than the way
 constexpr Duration kInZoneDistance = std::chrono::milliseconds(1);
-constexpr Duration kCrossZoneDistance = std::chrono::milliseconds(3);
+constexpr Duration kCrossZoneDistance = std::chrono::milliseconds(25);
 // a run that finds no room waits at least about so long for the next end
 // share of the run time by which offers are made unequal for different jobs, when there are many
 // owners: coordinators that see the same offers would otherwise all take the same one
