Leave fast workers to long runs

Change: of the workers and owners with room the slowest that suffices, with a quarter to spare, is taken; where none suffices the earliest end, as before.

--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -65,7 +65,7 @@
       sapphireflow::DispatchAddresses(settings.zone(), addresses.callers(), addresses.readiness(),
                                       addresses.peers(), settings.stop_grace()),
       sapphireflow::DispatchSettings(settings.leases(), settings.remote_factor(), "least-slack",
-                                     "earliest-end", "consecutive-failures"),
+                                     "slowest-sufficient", "consecutive-failures"),
       store, workers, format, log);
   sapphireflow::platform::JobFront callers(service.node(), service.events(), service.replies(),
                                            format);
--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -74,8 +74,8 @@
     std::optional<SubmitWork> successor;
   };
   struct Finished {
-    WorkVerdict verdict;
-    Instant at;
+    WorkVerdict verdict = WorkVerdict::kCompleted;
+    Instant at{};
   };
   using Jobs = std::unordered_map<JobKey, Job>;
   using Batches = std::map<NodeId, std::vector<RunOrder>>;
--- a/include/sapphireflow/dispatch/room_board.h
+++ b/include/sapphireflow/dispatch/room_board.h
@@ -29,7 +29,9 @@
 
   /// @brief Chooses an owner for a run and books the room. Complexity: linear in all rooms.
   /// @return nothing if no owner has a usable worker of the service that could ever run it.
-  std::optional<OwnerOffer> Book(const std::string& service, const RunOrder& order);
+  /// @param time_left until the job's objective
+  std::optional<OwnerOffer> Book(const std::string& service, const RunOrder& order,
+                                 Duration time_left);
   /// @brief The shortest wait for room of this size; nothing without owners.
   std::optional<Duration> ShortestWait(const std::string& service, const Resources& needs) const;
   /// @brief Whether an owner other than `self` has said that it has room of this size.
@@ -49,7 +51,11 @@
     std::int64_t milli_cores = 0;
   };
   using Key = std::pair<NodeId, std::string>;
-  std::optional<std::size_t> BestRoom(const Entry& entry, const RunOrder& order) const;
+  // the room of the owner that its policy prefers
+  std::optional<std::size_t> BestRoom(const NodeId& owner, const Entry& entry,
+                                      const RunOrder& order, Duration time_left) const;
+  OwnerOffer OfferOf(const NodeId& owner, const Entry& entry, const RunOrder& order,
+                     const WorkerRoom* room, Duration time_left) const;
   Duration DistanceTo(const NodeId& owner, const Entry& entry) const;
 
   const NodeId m_self;
--- a/include/sapphireflow/ownership/worker_choice.h
+++ b/include/sapphireflow/ownership/worker_choice.h
@@ -32,25 +32,27 @@
 class WorkerChoice {
  public:
   virtual ~WorkerChoice() = default;
+  /// @param time_left until the job's objective
   /// @param candidates not empty
   /// @return the chosen one's position. Complexity: linear.
-  virtual std::size_t Choose(const RunOrder& order,
+  virtual std::size_t Choose(const RunOrder& order, Duration time_left,
                              const std::vector<Candidate>& candidates) const = 0;
 };
 
 /// @brief Baseline: the first with room.
 class FirstFitChoice : public WorkerChoice {
  public:
-  std::size_t Choose(const RunOrder& order,
+  std::size_t Choose(const RunOrder& order, Duration time_left,
                      const std::vector<Candidate>& candidates) const override;
 };
 
-/// @brief The earliest expected end; among equals the tightest fit.
-class EarliestEndChoice : public WorkerChoice {
+/// @brief The slowest worker that suffices, so that fast ones are left to long runs; where none
+/// suffices, the one at which the run ends first. Among equals the tightest fit.
+class SlowestSufficientChoice : public WorkerChoice {
  public:
   /// @param remote_factor how much longer a task takes away from the rack of its data
-  explicit EarliestEndChoice(double remote_factor) : m_remote_factor(remote_factor) {}
-  std::size_t Choose(const RunOrder& order,
+  explicit SlowestSufficientChoice(double remote_factor) : m_remote_factor(remote_factor) {}
+  std::size_t Choose(const RunOrder& order, Duration time_left,
                      const std::vector<Candidate>& candidates) const override;
 
  private:
--- a/include/sapphireflow/settings/dispatch_settings.h
+++ b/include/sapphireflow/settings/dispatch_settings.h
@@ -24,7 +24,7 @@
   double remote_factor() const { return m_remote_factor; }
   /// @brief `least-slack` or `arrival`.
   const std::string& start_order() const { return m_start_order; }
-  /// @brief `earliest-end` or `nearest`.
+  /// @brief `slowest-sufficient`, `earliest-end` or `nearest`.
   const std::string& owner_choice() const { return m_owner_choice; }
   /// @brief `consecutive-failures` or `trusting`.
   const std::string& outliers() const { return m_outliers; }
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -25,7 +25,7 @@
 constexpr double kUnstartedShare = 0.45;
 
 std::string JobText(JobKey key) {
-  static const char* const kDigits = "0123456789abcdef";
+  static constexpr char kDigits[] = "0123456789abcdef";
   std::string text(16, '0');
   for (std::size_t i = 0; i < text.size(); ++i) {
     text[text.size() - 1 - i] = kDigits[(key >> (4 * i)) & 0xf];
@@ -179,7 +179,8 @@
       const RunKey run(TaskKey(order.key(), 0, s, i), task.run_number + 1);
       const RunOrder run_order(run, step.needs(), step.estimate(), step.label(), step.near_rack(),
                                step.per_worker_limit(), task.avoid);
-      const auto offer = m_rooms.Book(order.service(), run_order);
+      const auto offer =
+          m_rooms.Book(order.service(), run_order, job.received_at + order.objective() - now);
       if (!offer) return;
       task.phase = TaskPhase::kPlaced;
       task.run_number = run.number();
--- a/src/dispatch/room_board.cc
+++ b/src/dispatch/room_board.cc
@@ -56,8 +56,10 @@
   for (const WorkerListing& listing : listings) m_listings.emplace(listing.id(), listing);
 }
 
-std::optional<std::size_t> RoomBoard::BestRoom(const Entry& entry, const RunOrder& order) const {
+std::optional<std::size_t> RoomBoard::BestRoom(const NodeId& owner, const Entry& entry,
+                                               const RunOrder& order, Duration time_left) const {
   std::optional<std::size_t> best;
+  Duration best_cost{};
   for (std::size_t i = 0; i < entry.rooms.size(); ++i) {
     const WorkerRoom& room = entry.rooms[i];
     if (!room.room().Covers(order.needs())) continue;
@@ -67,32 +69,45 @@
     }
     const auto& avoid = order.avoid();
     if (std::find(avoid.begin(), avoid.end(), room.worker()) != avoid.end()) continue;
-    if (!best || room.slowness() < entry.rooms[*best].slowness()) best = i;
+    const Duration cost = m_choice->Cost(OfferOf(owner, entry, order, &room, time_left));
+    if (best && best_cost <= cost) continue;
+    best = i;
+    best_cost = cost;
   }
   return best;
 }
 
+OwnerOffer RoomBoard::OfferOf(const NodeId& owner, const Entry& entry, const RunOrder& order,
+                              const WorkerRoom* room, Duration time_left) const {
+  const double run_ms = ToMillis(order.estimate()) * (room != nullptr ? room->slowness() : 1.0);
+  const double spread =
+      std::min(kLargestSpread, kSpreadPerOwner * static_cast<double>(m_entries.size()));
+  const double spread_ms = run_ms * spread * Chance(order.run().task().job(), owner);
+  const Duration wait = room != nullptr ? Duration::zero() : entry.wait + kShortestQueueWait;
+  return {owner,
+          DistanceTo(owner, entry) + FromMillis(spread_ms),
+          room != nullptr,
+          wait,
+          FromMillis(run_ms),
+          time_left};
+}
+
 Duration RoomBoard::DistanceTo(const NodeId& owner, const Entry& entry) const {
   if (owner == m_self) return Duration::zero();
   return entry.zone == m_zone ? kInZoneDistance : kCrossZoneDistance;
 }
 
-std::optional<OwnerOffer> RoomBoard::Book(const std::string& service, const RunOrder& order) {
+std::optional<OwnerOffer> RoomBoard::Book(const std::string& service, const RunOrder& order,
+                                          Duration time_left) {
   std::lock_guard<std::mutex> lock(m_mutex);
   std::optional<OwnerOffer> best;
   Entry* best_entry = nullptr;
   std::optional<std::size_t> best_room;
-  const double spread =
-      std::min(kLargestSpread, kSpreadPerOwner * static_cast<double>(m_entries.size()));
   for (auto& [key, entry] : m_entries) {
     if (key.second != service || entry.milli_cores <= 0) continue;
-    const auto room = BestRoom(entry, order);
-    const double slowness = room ? entry.rooms[*room].slowness() : 1.0;
-    const Duration wait = room ? Duration::zero() : entry.wait + kShortestQueueWait;
-    const double run_ms = ToMillis(order.estimate()) * slowness;
-    const double spread_ms = run_ms * spread * Chance(order.run().task().job(), key.first);
-    const OwnerOffer offer(key.first, DistanceTo(key.first, entry) + FromMillis(spread_ms),
-                           room.has_value(), wait, FromMillis(run_ms));
+    const auto room = BestRoom(key.first, entry, order, time_left);
+    const OwnerOffer offer =
+        OfferOf(key.first, entry, order, room ? &entry.rooms[*room] : nullptr, time_left);
     if (best && m_choice->Cost(*best) <= m_choice->Cost(offer)) continue;
     best = offer;
     best_entry = &entry;
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -308,7 +308,8 @@
     owners.push_back(&owned);
   }
   if (candidates.empty()) return false;
-  Owned& chosen = *owners[m_policies.choice().Choose(waiting.order(), candidates)];
+  Owned& chosen = *owners[m_policies.choice().Choose(waiting.order(), waiting.objective_at() - now,
+                                                     candidates)];
   out.emplace_back(chosen.session.Start(waiting, m_next_call++, now, Hasty(now)));
   return true;
 }
--- a/src/ownership/worker_choice.cc
+++ b/src/ownership/worker_choice.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphireflow/dispatch/owner_choice.h"
+
 namespace sapphireflow {
 namespace {
 
@@ -12,13 +14,13 @@
 
 }  // namespace
 
-std::size_t FirstFitChoice::Choose(const RunOrder& /*order*/,
+std::size_t FirstFitChoice::Choose(const RunOrder& /*order*/, Duration /*time_left*/,
                                    const std::vector<Candidate>& /*candidates*/) const {
   return 0;
 }
 
-std::size_t EarliestEndChoice::Choose(const RunOrder& order,
-                                      const std::vector<Candidate>& candidates) const {
+std::size_t SlowestSufficientChoice::Choose(const RunOrder& order, Duration time_left,
+                                            const std::vector<Candidate>& candidates) const {
   const auto cost = [&](const Candidate& candidate) {
     double factor = candidate.slowness();
     if (!order.near_rack().empty() && !candidate.listing().HasLabel(order.near_rack())) {
@@ -28,7 +30,11 @@
     if (std::find(avoid.begin(), avoid.end(), candidate.listing().id()) != avoid.end()) {
       factor *= kAvoidedFactor;
     }
-    return std::make_pair(factor, candidate.room().milli_cores());
+    const Duration run_time = FromMillis(ToMillis(order.estimate()) * factor);
+    const Duration rank = Suffices(run_time, time_left)
+                              ? -run_time
+                              : std::max(time_left, Duration::zero()) + run_time;
+    return std::make_pair(rank, candidate.room().milli_cores());
   };
   const auto best =
       std::min_element(candidates.begin(), candidates.end(),
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -72,7 +72,7 @@
   record.start_token = m_token;
   record.start_call = call;
   record.since = now;
-  m_runs[waiting.order().run()] = std::move(record);
+  m_runs[waiting.order().run()] = record;
   m_lease_sent = now;
   return {MakeCall(call, LeaseUntil(now)), waiting.order().run(), waiting.payload(),
           hasty ? kHastyStartTimeout : kStartTimeout};
@@ -238,7 +238,7 @@
     record.phase = RunPhase::kRunning;
     record.known_by_call = reply.call();
     record.since = now;
-    m_runs[run] = std::move(record);
+    m_runs[run] = record;
   }
 }
 
@@ -273,7 +273,7 @@
   // lease until now. An answer under a token above all that it used decides; until then the run
   // counts as one that may start.
   m_lease_sent = now;
-  m_runs[adoption.run()] = std::move(record);
+  m_runs[adoption.run()] = record;
   return m_phase == Phase::kTaking;
 }
 
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -22,7 +22,7 @@
 
 OwnerPolicies MakePolicies(const DispatchSettings& settings) {
   return {MakeStartOrder(settings.start_order()),
-          std::make_unique<EarliestEndChoice>(settings.remote_factor()),
+          std::make_unique<SlowestSufficientChoice>(settings.remote_factor()),
           MakeOutlierDetector(settings.outliers())};
 }
 
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -36,11 +36,11 @@
   Owner()
       : m_board(kSelf, "celaya", MakeOwnerChoice("earliest-end")),
         m_tokens(kSelf),
-        m_shard(
-            kSelf, LeaseLimits(Millis(1000), Millis(50)),
-            OwnerPolicies(MakeStartOrder("least-slack"), std::make_unique<EarliestEndChoice>(2.0),
-                          MakeOutlierDetector("trusting")),
-            m_tokens, m_next_call, m_board) {}
+        m_shard(kSelf, LeaseLimits(Millis(1000), Millis(50)),
+                OwnerPolicies(MakeStartOrder("least-slack"),
+                              std::make_unique<SlowestSufficientChoice>(2.0),
+                              MakeOutlierDetector("trusting")),
+                m_tokens, m_next_call, m_board) {}
 
   void Feed(OwnerEvent event) {
     for (OwnerEffect& effect : m_shard.Apply(OwnerInput(now, std::move(event)))) {
