--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -11,19 +11,12 @@
 #include <vector>
 
 #include "sapphireflow/dispatch/job_event.h"
+#include "sapphireflow/dispatch/owner_lookup.h"
 #include "sapphireflow/dispatch/room_board.h"
 #include "sapphireflow/pipeline/filter.h"
 
 namespace sapphireflow {
 
-/// @brief Tells who commands a worker now. Thread-safe.
-class OwnerLookup {
- public:
-  virtual ~OwnerLookup() = default;
-  /// @return nothing if the worker is not listed or nobody in touch owns it.
-  virtual std::optional<NodeId> OwnerOf(const WorkerId& worker) const = 0;
-};
-
 /// @brief Coordinates jobs: places their runs with owners, retries, and answers the callers.
 /// Thread-safe: one lock.
 ///
--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "sapphireflow/dispatch/dispatch_message.h"
-#include "sapphireflow/dispatch/job_shard.h"
+#include "sapphireflow/dispatch/owner_lookup.h"
 #include "sapphireflow/model/ids.h"
 #include "sapphireflow/model/worker_state.h"
 
--- a/src/dispatch/room_board.cc
+++ b/src/dispatch/room_board.cc
@@ -10,11 +10,11 @@
 // the round trip within a zone; across zones what a cut may cost counts for more than the way
 constexpr Duration kInZoneDistance = std::chrono::milliseconds(1);
 constexpr Duration kCrossZoneDistance = std::chrono::milliseconds(25);
-// a run that finds no room waits at least about so long for the next end
 // share of the run time by which offers are made unequal for different jobs, when there are many
 // owners: coordinators that see the same offers would otherwise all take the same one
 constexpr double kLargestSpread = 0.6;
 constexpr double kSpreadPerOwner = 1.0 / 60;
+// a run that finds no room waits at least about so long for the next end: a tenth of a usual run
 constexpr Duration kShortestQueueWait = std::chrono::milliseconds(15);
 
 // a number from 0 to 1 that differs by job and owner
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -13,6 +13,7 @@
 constexpr Duration kFirstRefusalPause = std::chrono::milliseconds(150);
 // the usual owner is alive; its cut from us lasts seconds
 constexpr Duration kDeputyRefusalPause = std::chrono::seconds(5);
+// keeps the pauses below a minute and a half
 constexpr std::uint32_t kMaxRefusalDoublings = 4;
 // with the doublings, five refusals make up for a clock that was set back by half a minute
 constexpr Duration kTokenSkip = std::chrono::seconds(1);
@@ -21,6 +22,7 @@
 // for so long after a lost answer more are expected to be lost
 constexpr Duration kHastyTime = std::chrono::seconds(4);
 constexpr Duration kStall = std::chrono::milliseconds(500);
+// room is counted in resources, not in slots
 constexpr std::uint32_t kUnlimitedSlots = 1000;
 
 std::string MillisText(Duration length) {
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -12,18 +12,24 @@
 constexpr Duration kRenewalWait = std::chrono::milliseconds(400);
 // beyond the wait: a worker answers in a millisecond, and a throttled core stalls for up to 100 ms
 constexpr Duration kRenewalSlack = std::chrono::milliseconds(100);
+// as the slack, and a little for the start itself
 constexpr Duration kStartTimeout = std::chrono::milliseconds(120);
 // while answers are being lost
 constexpr Duration kHastyWait = std::chrono::milliseconds(60);
 constexpr Duration kHastySlack = std::chrono::milliseconds(50);
 constexpr Duration kHastyStartTimeout = std::chrono::milliseconds(60);
+// a stop takes the platform's 50 ms at most
 constexpr Duration kStopTimeout = std::chrono::milliseconds(250);
+// once the former order's answer is overdue by any measure
 constexpr Duration kStopAgain = std::chrono::milliseconds(200);
 // how long coordinators have to claim what a new owner finds on a worker
 constexpr Duration kAdoptionTime = std::chrono::milliseconds(300);
+// between renewals that get no answer; each is a priced look, and a lease lapses within a second
 constexpr Duration kFirstPause = std::chrono::milliseconds(50);
 constexpr Duration kLongestPause = std::chrono::milliseconds(1000);
+// the directory shows a worker's next life within about this
 constexpr Duration kPauseAfterEnd = std::chrono::milliseconds(1000);
+// ends of a few seconds on a busy worker; bounds the memory of a new owner
 constexpr std::size_t kMaxUnclaimedEnds = 2000;
 constexpr std::uint32_t kMaxDoublings = 5;
 // single answers are lost on the way; a worker that loses so many in a row is at fault
--- a/src/transport/directory_watch.cc
+++ b/src/transport/directory_watch.cc
@@ -8,10 +8,13 @@
 
 // a change has two seconds to be in force; a watch that went silent is noticed within this
 constexpr Duration kConfigurationWait = std::chrono::milliseconds(1000);
+// members are known by their beats, too
 constexpr Duration kMembersWait = std::chrono::seconds(10);
 // a leaving worker has two seconds to be left alone
 constexpr Duration kWorkersInterval = std::chrono::milliseconds(900);
+// three tries within the second after which a bound counts
 constexpr Duration kRetry = std::chrono::milliseconds(300);
+// three renewals fit, with time for one to be lost; above the store's shortest lease of a second
 constexpr Duration kLifetime = std::chrono::seconds(10);
 constexpr Duration kKeepInterval = std::chrono::seconds(3);
 
