Forget what was to be done at a connection's close with the answer

Cause: each request on a kept connection left an entry until the connection closed, so that memory grew with the requests of long-lived callers.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -30,9 +30,18 @@
 /// What is to be done when a connection closes, by connection. Thread-safe.
 class CloseWatch {
  public:
-  void Add(restinio::connection_id_t connection, std::function<void()> action) {
+  /// @param owner by which the action can be removed
+  void Add(restinio::connection_id_t connection, const void* owner, std::function<void()> action) {
     std::lock_guard<std::mutex> lock(m_mutex);
-    m_actions.emplace(connection, std::move(action));
+    m_actions.emplace(connection, Watched{owner, std::move(action)});
+  }
+
+  void Remove(restinio::connection_id_t connection, const void* owner) {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto [first, last] = m_actions.equal_range(connection);
+    const auto found =
+        std::find_if(first, last, [owner](const auto& item) { return item.second.owner == owner; });
+    if (found != last) m_actions.erase(found);
   }
 
   // called by RESTinio
@@ -43,7 +52,7 @@
     {
       std::lock_guard<std::mutex> lock(m_mutex);
       const auto [first, last] = m_actions.equal_range(notice.connection_id());
-      for (auto item = first; item != last; ++item) due.push_back(std::move(item->second));
+      for (auto item = first; item != last; ++item) due.push_back(std::move(item->second.action));
       m_actions.erase(first, last);
     }
     for (const auto& action : due) action();
@@ -51,8 +60,12 @@
 
  private:
   std::mutex m_mutex;
+  struct Watched {
+    const void* owner;
+    std::function<void()> action;
+  };
   // guarded by m_mutex
-  std::unordered_multimap<restinio::connection_id_t, std::function<void()>> m_actions;
+  std::unordered_multimap<restinio::connection_id_t, Watched> m_actions;
 };
 
 struct Traits : public restinio::default_traits_t {
@@ -68,6 +81,7 @@
 
   void Respond(const HttpResponse& response) override {
     if (m_done.exchange(true)) return;
+    m_closes.Remove(m_request->connection_id(), this);
     auto builder = m_request->create_response(restinio::http_status_line_t{
         restinio::http_status_code_t{static_cast<std::uint16_t>(response.status())}, "-"});
     builder.append_header(restinio::http_field::content_type, response.content_type());
@@ -83,7 +97,7 @@
   }
 
   void OnClosed(std::function<void()> action) override {
-    m_closes.Add(m_request->connection_id(),
+    m_closes.Add(m_request->connection_id(), this,
                  [self = std::weak_ptr<Responder>(shared_from_this()), action = std::move(action)] {
                    const auto responder = self.lock();
                    if (responder && !responder->m_done) action();
