Start nothing on a worker that is taken anew before its lists are known

Cause: an owner that a deputy had displaced unnoticed, asked to adopt one run, took the worker under a higher token and went on starting there before the answer showed the deputy's other runs. Ruled out: wrong needs of adopted runs, stale lists, late starts (read in the code; each is fenced or ignored). Change: a worker that is taken anew is not used before its answer.

--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -352,6 +352,8 @@
 
 void WorkerSession::Retake(FencingToken token, Instant now) {
   m_token = token;
+  // what another owner started may be there: nothing is started before the answer
+  m_suspect = true;
   m_renew_now = true;
   m_renew_at = Instant{};
   if (m_phase != Phase::kFenced) return;
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -391,3 +391,19 @@
   REQUIRE(owner.ReportOf(Run(0)));
   CHECK(owner.ReportOf(Run(0))->end() == RunEnd::kLapsed);
 }
+
+// An owner that was displaced without noticing is asked to adopt one of the runs that its deputy
+// started: its new token is accepted, but the deputy's other runs are not known yet.
+TEST_CASE("nothing starts on a worker that is taken anew before its lists are known") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Feed(owner.Adoption(0));
+  owner.Place({1});
+  CHECK(owner.starts.empty());
+  owner.AnswerRenewal({Run(0), Run(5)}, {});
+  CHECK(owner.starts.empty());
+  owner.Feed(owner.Adoption(5));
+  CHECK(owner.starts.empty());
+  owner.AnswerRenewal({Run(0)}, {EndedRun(1, Run(5), RunEnd::kDone)});
+  CHECK(owner.starts.size() == 1);
+}
