Tell peers at once of a table that an edit's own calls brought

The entry VM that made an edit learned the accepted version from the edit's own call and told nobody before its next heartbeat; it died 342 ms later, the other zone's watcher was dead and the store went down 100 ms after, so that b2, alive throughout, never had version 2. Ruled out: a watch of b2 that ran (it watches only after 350 ms of silence of b1); the checker (b2 lived since the edit, so the promise holds for it). Change: a version that comes in force by any call of the store is told to the peers at once, as the watch does.

--- a/src/routing/node.cc
+++ b/src/routing/node.cc
@@ -159,15 +159,15 @@
 }
 
 void Node::On(const StoreReply& reply, Instant now, NodeEffects& out) {
-  if (reply.call() != kWatchCall) {
-    // an edit's own calls bring the newer table before the watch does
-    PutInForce(reply.table(), now, out);
+  const bool watch = reply.call() == kWatchCall;
+  if (watch) m_table.OnWatchReply(reply, now);
+  // An edit's own calls bring the newer table before the watch does. What comes from the store is
+  // told to the peers at once: this VM may be the only one that has it when the store goes down.
+  if (PutInForce(reply.table(), now, out)) SendHeartbeats(out);
+  if (!watch) {
     Absorb(m_editor.OnReply(reply, now), out);
     return;
   }
-  m_table.OnWatchReply(reply, now);
-  // what comes from the store is told to the peers at once
-  if (PutInForce(reply.table(), now, out)) SendHeartbeats(out);
   const auto next = m_table.NextWatch(m_peers.WatchesStore(now), now);
   if (next) out.emplace_back(*next);
 }
