Own workers in proportion to the processor share that callers leave

Ruled out: even shares by bounded loads (a share that fits 0.5 cores does not fit 0.09). Change: members list their processor share; workers go by weighted rendezvous hashing over what is left of it after 50 thousandths for callers' jobs. The usual and the present owner of each worker are found in one pass.

--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -62,8 +62,9 @@
   sapphireflow::platform::WorkerCalls workers(http);
   const sapphireflow::platform::AnswerFormat format;
   sapphireflow::DispatchService service(
-      sapphireflow::DispatchAddresses(settings.zone(), addresses.callers(), addresses.readiness(),
-                                      addresses.peers(), settings.stop_grace()),
+      sapphireflow::DispatchAddresses(settings.zone(), settings.milli_cores(), addresses.callers(),
+                                      addresses.readiness(), addresses.peers(),
+                                      settings.stop_grace()),
       sapphireflow::DispatchSettings(settings.leases(), settings.remote_factor(), "least-slack",
                                      "slowest-sufficient", "consecutive-failures"),
       store, workers, format, log);
--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "sapphireflow/membership/member_listing.h"
 #include "sapphireflow/model/configuration.h"
 #include "sapphireflow/model/ids.h"
 #include "sapphireflow/model/work.h"
@@ -252,19 +253,17 @@
 /// @brief A member's heartbeat to another one.
 class MemberBeat : public Comparable<MemberBeat> {
  public:
-  MemberBeat(const NodeId& from, std::string zone, bool draining, std::uint64_t sequence,
-             std::uint64_t echo, std::uint64_t link_losses, std::uint64_t configuration_version,
+  MemberBeat(MemberListing from, bool draining, std::uint64_t sequence, std::uint64_t echo,
+             std::uint64_t link_losses, std::uint64_t configuration_version,
              std::uint64_t token_floor)
-      : m_from(from),
-        m_zone(std::move(zone)),
+      : m_from(std::move(from)),
         m_draining(draining),
         m_sequence(sequence),
         m_echo(echo),
         m_link_losses(link_losses),
         m_configuration_version(configuration_version),
         m_token_floor(token_floor) {}
-  const NodeId& from() const { return m_from; }
-  const std::string& zone() const { return m_zone; }
+  const MemberListing& from() const { return m_from; }
   bool draining() const { return m_draining; }
   std::uint64_t sequence() const { return m_sequence; }
   /// @brief Sequence of the newest beat that the sender got from the receiver; 0 for none.
@@ -275,13 +274,12 @@
   /// @brief Highest fencing token that the sender knows to be in use.
   std::uint64_t token_floor() const { return m_token_floor; }
   auto Fields() const {
-    return std::tie(m_from, m_zone, m_draining, m_sequence, m_echo, m_link_losses,
+    return std::tie(m_from, m_draining, m_sequence, m_echo, m_link_losses,
                     m_configuration_version, m_token_floor);
   }
 
  private:
-  NodeId m_from;
-  std::string m_zone;
+  MemberListing m_from;
   bool m_draining;
   std::uint64_t m_sequence;
   std::uint64_t m_echo;
--- a/include/sapphireflow/membership/home_choice.h
+++ b/include/sapphireflow/membership/home_choice.h
@@ -5,10 +5,12 @@
 
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "sapphireflow/model/address.h"
+#include "sapphireflow/model/comparable.h"
 
 namespace sapphireflow {
 
@@ -25,11 +27,29 @@
 std::map<Address, Address> ChooseHomes(const Sizes& subjects,
                                        const std::vector<Address>& candidates);
 
-/// @brief The candidate with the highest hash of the pair (rendezvous hashing).
+/// @brief One that may be chosen as a home, and its share of the subjects.
+class HomeCandidate : public Comparable<HomeCandidate> {
+ public:
+  HomeCandidate(const Address& address, std::uint32_t weight)
+      : m_address(address), m_weight(weight) {}
+  const Address& address() const { return m_address; }
+  std::uint32_t weight() const { return m_weight; }
+  auto Fields() const { return std::tie(m_address, m_weight); }
+
+ private:
+  Address m_address;
+  // invariant: > 0; relative to those of the other candidates
+  std::uint32_t m_weight;
+};
+
+using HomeCandidates = std::vector<HomeCandidate>;
+
+/// @brief A candidate by weighted rendezvous hashing.
 ///
-/// A subject or candidate that comes or goes moves no other subject, at the price of uneven shares.
+/// Shares are in proportion to the weights on average. A subject or candidate that comes or goes
+/// moves no other subject.
 /// @param candidates not empty. Complexity: linear.
-Address ChooseHome(const Address& subject, const std::vector<Address>& candidates);
+Address ChooseHome(const Address& subject, const HomeCandidates& candidates);
 
 }  // namespace sapphireflow
 
--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -14,24 +14,13 @@
 
 #include "sapphireflow/dispatch/dispatch_message.h"
 #include "sapphireflow/dispatch/owner_lookup.h"
+#include "sapphireflow/membership/home_choice.h"
+#include "sapphireflow/membership/member_listing.h"
 #include "sapphireflow/model/ids.h"
 #include "sapphireflow/model/worker_state.h"
 
 namespace sapphireflow {
 
-/// @brief One process of the system as it lists itself.
-class MemberListing : public Comparable<MemberListing> {
- public:
-  MemberListing(const NodeId& node, std::string zone) : m_node(node), m_zone(std::move(zone)) {}
-  const NodeId& node() const { return m_node; }
-  const std::string& zone() const { return m_zone; }
-  auto Fields() const { return std::tie(m_node, m_zone); }
-
- private:
-  NodeId m_node;
-  std::string m_zone;
-};
-
 /// @brief What changed among the members.
 class MemberChange : public Comparable<MemberChange> {
  public:
@@ -82,10 +71,25 @@
   bool m_reset_link;
 };
 
+/// @brief The workers that a VM commands.
+class WorkerAssignment : public Comparable<WorkerAssignment> {
+ public:
+  WorkerAssignment(WorkerListings workers, std::set<WorkerId> deputized)
+      : m_workers(std::move(workers)), m_deputized(std::move(deputized)) {}
+  const WorkerListings& workers() const { return m_workers; }
+  /// @brief Those of them that another member owns when it is in touch.
+  const std::set<WorkerId>& deputized() const { return m_deputized; }
+  auto Fields() const { return std::tie(m_workers, m_deputized); }
+
+ private:
+  WorkerListings m_workers;
+  std::set<WorkerId> m_deputized;
+};
+
 /// @brief The members that this VM knows, and the workers listed. Thread-safe: one lock.
 class MemberTable : public OwnerLookup {
  public:
-  MemberTable(const NodeId& self, std::string zone);
+  explicit MemberTable(MemberListing self);
 
   MemberChanges OnListed(const std::vector<MemberListing>& members, Instant now);
   MemberChanges OnBeat(const MemberBeat& beat, Instant now);
@@ -105,9 +109,7 @@
   /// @brief The beats that are due now.
   std::vector<BeatAddress> DueBeats(Instant now);
   /// @return the workers that this VM commands. Complexity: workers times members of a zone.
-  WorkerListings OwnWorkers() const;
-  /// @return those of them that another member owns when it is in touch.
-  std::set<WorkerId> DeputizedWorkers() const;
+  WorkerAssignment OwnWorkers() const;
   std::optional<NodeId> OwnerOf(const WorkerId& worker) const override;
   /// @brief Whether this VM may be the one that is cut off: most of the members that it knows are
   /// out of touch, and not for long or without an answer of the store since.
@@ -119,6 +121,7 @@
   struct Member {
     NodeId node;
     std::string zone;
+    std::uint32_t milli_cores = 0;
     bool listed = false;
     bool draining = false;
     bool in_touch = false;
@@ -139,16 +142,21 @@
     std::uint64_t its_link_losses = 0;
   };
   bool IsolatedLocked() const;
+  // who may own workers, by zone and all together
+  struct Owners {
+    std::map<std::string, HomeCandidates> by_zone;
+    HomeCandidates all;
+  };
   /// @param lost_too whether members out of touch count as owners
-  std::optional<NodeId> OwnerOfLocked(const WorkerListing& worker, bool lost_too) const;
+  Owners OwnersLocked(bool lost_too) const;
+  std::optional<NodeId> OwnerOfLocked(const WorkerListing& worker, const Owners& owners) const;
   void Lose(Member& member, const std::string& why, MemberChanges& changes) const;
   bool MostOutOfTouch() const;
   Duration BeatInterval(const Member& member) const;
   // a member that is not heard for so long is out of touch
   Duration SilenceOf(const Member& member) const;
 
-  const NodeId m_self;
-  const std::string m_zone;
+  const MemberListing m_self;
   mutable std::mutex m_mutex;
   // all below guarded by m_mutex; by address
   std::map<Address, Member> m_members;
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -27,7 +27,7 @@
 /// are assigned.
 class DispatchNode : public Filter<DispatchInput, DispatchEffects> {
  public:
-  DispatchNode(const NodeId& self, const std::string& zone, const DispatchSettings& settings);
+  DispatchNode(const MemberListing& listing, const DispatchSettings& settings);
 
   DispatchEffects Apply(const DispatchInput& in) override;
 
@@ -97,8 +97,8 @@
   std::size_t OwnerShardOf(const std::string& service) const;
   std::size_t OwnerShardOfWorker(const WorkerId& worker) const;
 
+  const MemberListing m_listing;
   const NodeId m_self;
-  const std::string m_zone;
   TokenSource m_tokens;
   std::atomic<CallNumber> m_next_call{1};
   std::atomic<bool> m_draining{false};
--- a/include/sapphireflow/transport/dispatch_service.h
+++ b/include/sapphireflow/transport/dispatch_service.h
@@ -19,23 +19,29 @@
 /// @brief Where a dispatch node serves, and how it stops.
 class DispatchAddresses : public Comparable<DispatchAddresses> {
  public:
-  DispatchAddresses(std::string zone, const Address& callers, const Address& readiness,
-                    const Address& peers, Duration stop_grace)
+  DispatchAddresses(std::string zone, std::uint32_t milli_cores, const Address& callers,
+                    const Address& readiness, const Address& peers, Duration stop_grace)
       : m_zone(std::move(zone)),
+        m_milli_cores(milli_cores),
         m_callers(callers),
         m_readiness(readiness),
         m_peers(peers),
         m_stop_grace(stop_grace) {}
   const std::string& zone() const { return m_zone; }
+  /// @brief Processor share of this VM, in thousandths of a core.
+  std::uint32_t milli_cores() const { return m_milli_cores; }
   const Address& callers() const { return m_callers; }
   const Address& readiness() const { return m_readiness; }
   const Address& peers() const { return m_peers; }
   /// @brief Time from the order to stop until the process is killed.
   Duration stop_grace() const { return m_stop_grace; }
-  auto Fields() const { return std::tie(m_zone, m_callers, m_readiness, m_peers, m_stop_grace); }
+  auto Fields() const {
+    return std::tie(m_zone, m_milli_cores, m_callers, m_readiness, m_peers, m_stop_grace);
+  }
 
  private:
   std::string m_zone;
+  std::uint32_t m_milli_cores;
   Address m_callers;
   Address m_readiness;
   Address m_peers;
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -128,8 +128,9 @@
   return {detail::Write(m.owner()), WriteAll(m.reports()), WriteAll(m.digests())};
 }
 Json Body(const MemberBeat& m) {
-  return {detail::Write(m.from()),
-          m.zone(),
+  return {detail::Write(m.from().node()),
+          m.from().zone(),
+          m.from().milli_cores(),
           m.draining(),
           m.sequence(),
           m.echo(),
@@ -166,10 +167,11 @@
                     ReadList(j.at(2), ReadDigest));
 }
 DispatchMessage ReadBeat(const Json& j) {
-  return MemberBeat(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(), j.at(2).get<bool>(),
-                    j.at(3).get<std::uint64_t>(), j.at(4).get<std::uint64_t>(),
+  const MemberListing from(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
+                           j.at(2).get<std::uint32_t>());
+  return MemberBeat(from, j.at(3).get<bool>(), j.at(4).get<std::uint64_t>(),
                     j.at(5).get<std::uint64_t>(), j.at(6).get<std::uint64_t>(),
-                    j.at(7).get<std::uint64_t>());
+                    j.at(7).get<std::uint64_t>(), j.at(8).get<std::uint64_t>());
 }
 DispatchMessage ReadNotice(const Json& j) {
   return RoomNotice(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
--- a/src/membership/home_choice.cc
+++ b/src/membership/home_choice.cc
@@ -2,6 +2,7 @@
 #include "sapphireflow/membership/home_choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace sapphireflow {
@@ -22,11 +23,23 @@
 
 }  // namespace
 
-Address ChooseHome(const Address& subject, const std::vector<Address>& candidates) {
-  return *std::max_element(candidates.begin(), candidates.end(),
-                           [&](const Address& a, const Address& b) {
-                             return PairHash(subject, a) < PairHash(subject, b);
-                           });
+Address ChooseHome(const Address& subject, const HomeCandidates& candidates) {
+  // the weight over the negative logarithm of a number from 0 to 1 that differs by pair
+  const auto score = [&subject](const HomeCandidate& candidate) {
+    constexpr double kHashRange = 18446744073709551616.0;
+    const double fraction =
+        (static_cast<double>(PairHash(subject, candidate.address())) + 1) / (kHashRange + 1);
+    return static_cast<double>(candidate.weight()) / -std::log(fraction);
+  };
+  const HomeCandidate* best = &candidates.front();
+  double best_score = score(*best);
+  for (const HomeCandidate& candidate : candidates) {
+    const double own_score = score(candidate);
+    if (own_score <= best_score) continue;
+    best = &candidate;
+    best_score = own_score;
+  }
+  return best->address();
 }
 
 std::map<Address, Address> ChooseHomes(const Sizes& subjects,
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -25,26 +25,29 @@
 // a coordinator that hears nothing of an owner places its runs again after two seconds and more
 constexpr Duration kOldestOrder = std::chrono::milliseconds(1200);
 constexpr std::size_t kBeatsRemembered = 16;
+// processor time that a VM spends on its callers' jobs; docs/CAPACITY.md has the measurement. Only
+// what is left of its share counts for commanding workers.
+constexpr std::uint32_t kCoordinatingMilliCores = 50;
 // one that is neither listed nor heard is forgotten
 constexpr Duration kForgetAfter = std::chrono::seconds(15);
 
 }  // namespace
 
-MemberTable::MemberTable(const NodeId& self, std::string zone)
-    : m_self(self), m_zone(std::move(zone)) {}
+MemberTable::MemberTable(MemberListing self) : m_self(std::move(self)) {}
 
 MemberChanges MemberTable::OnListed(const std::vector<MemberListing>& members, Instant now) {
   MemberChanges changes;
   std::lock_guard<std::mutex> lock(m_mutex);
   for (auto& [address, member] : m_members) member.listed = false;
   for (const MemberListing& listing : members) {
-    if (listing.node().address() == m_self.address()) continue;
+    if (listing.node().address() == m_self.node().address()) continue;
     const auto [place, is_new] = m_members.try_emplace(listing.node().address());
     Member& member = place->second;
     member.listed = true;
     if (!is_new) continue;
     member.node = listing.node();
     member.zone = listing.zone();
+    member.milli_cores = listing.milli_cores();
     member.in_touch = true;
     member.trusted_until = now + kFirstTrust;
     member.echoed_at = now;
@@ -56,11 +59,12 @@
 MemberChanges MemberTable::OnBeat(const MemberBeat& beat, Instant now) {
   MemberChanges changes;
   std::lock_guard<std::mutex> lock(m_mutex);
-  const auto [place, is_new] = m_members.try_emplace(beat.from().address());
+  const NodeId& from = beat.from().node();
+  const auto [place, is_new] = m_members.try_emplace(from.address());
   Member& member = place->second;
-  if (!is_new && member.node != beat.from()) {
+  if (!is_new && member.node != from) {
     // another process at the same address
-    if (beat.from().incarnation() < member.node.incarnation() && member.heard_sequence > 0 &&
+    if (from.incarnation() < member.node.incarnation() && member.heard_sequence > 0 &&
         now - member.heard_at < SilenceOf(member)) {
       return changes;
     }
@@ -75,8 +79,9 @@
     member = fresh;
   }
   const bool first = member.heard_sequence == 0;
-  member.node = beat.from();
-  member.zone = beat.zone();
+  member.node = from;
+  member.zone = beat.from().zone();
+  member.milli_cores = beat.from().milli_cores();
   if (first) {
     member.its_link_losses = beat.link_losses();
     member.echoed_at = now;
@@ -103,7 +108,7 @@
 }
 
 Duration MemberTable::BeatInterval(const Member& member) const {
-  if (member.zone == m_zone) return kBeatInterval;
+  if (member.zone == m_self.zone()) return kBeatInterval;
   const auto members = static_cast<std::int64_t>(m_members.size());
   return std::clamp<Duration>(kBeatTimePerMember * members, kBeatInterval, kLongestBeatInterval);
 }
@@ -228,48 +233,57 @@
   return 2 * in_touch < static_cast<std::ptrdiff_t>(m_members.size());
 }
 
-std::optional<NodeId> MemberTable::OwnerOfLocked(const WorkerListing& worker, bool lost_too) const {
-  std::vector<Address> in_zone;
-  std::vector<Address> everywhere;
-  const auto consider = [&](const Address& address, const std::string& zone) {
-    everywhere.push_back(address);
-    if (zone == worker.zone()) in_zone.push_back(address);
+MemberTable::Owners MemberTable::OwnersLocked(bool lost_too) const {
+  Owners owners;
+  const auto add = [&owners](const Address& address, const std::string& zone,
+                             std::uint32_t milli_cores) {
+    const std::uint32_t spare =
+        milli_cores > kCoordinatingMilliCores ? milli_cores - kCoordinatingMilliCores : 1;
+    const HomeCandidate candidate(address, spare);
+    owners.by_zone[zone].push_back(candidate);
+    owners.all.push_back(candidate);
   };
-  if (!m_draining) consider(m_self.address(), m_zone);
+  if (!m_draining) add(m_self.node().address(), m_self.zone(), m_self.milli_cores());
   for (const auto& [address, member] : m_members) {
-    if ((member.in_touch || lost_too) && !member.draining) consider(address, member.zone);
+    if ((member.in_touch || lost_too) && !member.draining) {
+      add(address, member.zone, member.milli_cores);
+    }
   }
-  const auto& candidates = in_zone.empty() ? everywhere : in_zone;
-  if (candidates.empty()) return std::nullopt;
+  return owners;
+}
+
+std::optional<NodeId> MemberTable::OwnerOfLocked(const WorkerListing& worker,
+                                                 const Owners& owners) const {
+  if (owners.all.empty()) return std::nullopt;
+  const auto in_zone = owners.by_zone.find(worker.zone());
+  const HomeCandidates& candidates =
+      in_zone == owners.by_zone.end() ? owners.all : in_zone->second;
   const Address home = ChooseHome(worker.address(), candidates);
-  return home == m_self.address() ? m_self : m_members.at(home).node;
+  return home == m_self.node().address() ? m_self.node() : m_members.at(home).node;
 }
 
-WorkerListings MemberTable::OwnWorkers() const {
+WorkerAssignment MemberTable::OwnWorkers() const {
   WorkerListings own;
+  std::set<WorkerId> deputized;
   std::lock_guard<std::mutex> lock(m_mutex);
+  const Owners usual = OwnersLocked(true);
   // who is cut off leaves the workers of the others alone, since they may well serve on
   const bool isolated = IsolatedLocked();
+  const Owners present = isolated ? usual : OwnersLocked(false);
+  const bool all_present = present.all.size() == usual.all.size();
   for (const auto& [id, worker] : m_workers) {
-    if (OwnerOfLocked(worker, isolated) == m_self) own.push_back(worker);
-  }
-  return own;
-}
-
-std::set<WorkerId> MemberTable::DeputizedWorkers() const {
-  std::set<WorkerId> deputized;
-  std::lock_guard<std::mutex> lock(m_mutex);
-  for (const auto& [id, worker] : m_workers) {
-    if (OwnerOfLocked(worker, true) != m_self) deputized.insert(id);
+    if (OwnerOfLocked(worker, present) != m_self.node()) continue;
+    own.push_back(worker);
+    if (!all_present && OwnerOfLocked(worker, usual) != m_self.node()) deputized.insert(id);
   }
-  return deputized;
+  return {std::move(own), std::move(deputized)};
 }
 
 std::optional<NodeId> MemberTable::OwnerOf(const WorkerId& worker) const {
   std::lock_guard<std::mutex> lock(m_mutex);
   const auto found = m_workers.find(worker);
   if (found == m_workers.end()) return std::nullopt;
-  return OwnerOfLocked(found->second, IsolatedLocked());
+  return OwnerOfLocked(found->second, OwnersLocked(IsolatedLocked()));
 }
 
 std::vector<NodeId> MemberTable::InTouch() const {
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -28,19 +28,18 @@
 
 }  // namespace
 
-DispatchNode::DispatchNode(const NodeId& self, const std::string& zone,
-                           const DispatchSettings& settings)
-    : m_self(self),
-      m_zone(zone),
-      m_tokens(self),
-      m_rooms(self, zone, MakeOwnerChoice(settings.owner_choice())),
-      m_members(self, zone) {
+DispatchNode::DispatchNode(const MemberListing& listing, const DispatchSettings& settings)
+    : m_listing(listing),
+      m_self(listing.node()),
+      m_tokens(m_self),
+      m_rooms(m_self, listing.zone(), MakeOwnerChoice(settings.owner_choice())),
+      m_members(listing) {
   const Duration lapse = settings.leases().lapse_time() + kSilentOwnerTime;
   for (std::size_t i = 0; i < kJobShards; ++i) {
-    m_jobs.push_back(std::make_unique<JobShard>(self, lapse, m_rooms, m_members));
+    m_jobs.push_back(std::make_unique<JobShard>(m_self, lapse, m_rooms, m_members));
   }
   for (std::size_t i = 0; i < kOwnerShards; ++i) {
-    m_owners.push_back(std::make_unique<OwnerShard>(self, settings.leases(), MakePolicies(settings),
+    m_owners.push_back(std::make_unique<OwnerShard>(m_self, settings.leases(), MakePolicies(settings),
                                                     m_tokens, m_next_call, m_rooms));
   }
 }
@@ -197,7 +196,7 @@
   m_tokens.Seen(message.token_floor());
   Follow(m_members.OnBeat(message, pass.now), pass);
   if (message.configuration_version() > m_configuration.version()) {
-    pass.out.emplace_back(SendMessage(message.from().address(), ConfigurationRequest(m_self)));
+    pass.out.emplace_back(SendMessage(message.from().node().address(), ConfigurationRequest(m_self)));
   }
 }
 
@@ -247,13 +246,13 @@
 
 void DispatchNode::AssignWorkers(Pass& pass) {
   std::lock_guard<std::mutex> lock(m_assign_mutex);
-  const auto deputized = m_members.DeputizedWorkers();
+  const WorkerAssignment own = m_members.OwnWorkers();
   std::vector<WorkerListings> by_shard(m_owners.size());
-  for (const WorkerListing& worker : m_members.OwnWorkers()) {
+  for (const WorkerListing& worker : own.workers()) {
     by_shard[OwnerShardOf(worker.service())].push_back(worker);
   }
   for (std::size_t i = 0; i < by_shard.size(); ++i) {
-    RunOwners(ForOwners{i, OwnWorkers(std::move(by_shard[i]), deputized)}, pass);
+    RunOwners(ForOwners{i, OwnWorkers(std::move(by_shard[i]), own.deputized())}, pass);
   }
   m_rooms.KeepServices(m_self, Digests());
 }
@@ -264,7 +263,7 @@
   for (const BeatAddress& beat : beats) {
     if (beat.reset_link()) pass.out.emplace_back(ResetLink(beat.to()));
     pass.out.emplace_back(SendMessage(
-        beat.to(), MemberBeat(m_self, m_zone, m_draining, beat.sequence(), beat.echo(),
+        beat.to(), MemberBeat(m_listing, m_draining, beat.sequence(), beat.echo(),
                               beat.link_losses(), m_configuration.version(), m_tokens.highest())));
   }
 }
@@ -277,7 +276,7 @@
   for (const NodeId& member : m_members.InTouch()) to.push_back(member.address());
   if (to.empty()) return;
   const auto digests = m_draining ? std::vector<RoomDigest>() : Digests();
-  pass.out.emplace_back(SendMessage(std::move(to), RoomNotice(m_self, m_zone, digests)));
+  pass.out.emplace_back(SendMessage(std::move(to), RoomNotice(m_self, m_listing.zone(), digests)));
 }
 
 std::vector<RoomDigest> DispatchNode::Digests() const {
@@ -337,7 +336,7 @@
   OwnerShard& shard = *m_owners[work.shard];
   OwnerEffects effects = shard.Apply(OwnerInput(pass.now, work.event));
   const auto digests = m_draining ? std::vector<RoomDigest>() : shard.Digests();
-  for (const RoomDigest& digest : digests) m_rooms.Update(m_self, m_zone, digest);
+  for (const RoomDigest& digest : digests) m_rooms.Update(m_self, m_listing.zone(), digest);
   for (OwnerEffect& effect : effects) {
     if (auto* report = std::get_if<ReportRuns>(&effect)) {
       const RunReports reports(m_self, report->reports(), digests);
--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -35,12 +35,12 @@
       : m_addresses(addresses),
         m_log(log),
         m_self(addresses.peers(), NewIncarnation(m_clock.Now())),
-        m_node(m_self, addresses.zone(), settings),
+        m_listing(m_self, addresses.zone(), addresses.milli_cores()),
+        m_node(m_listing, settings),
         m_timers(m_clock),
         m_links(addresses.peers(), kPeerKey, m_listener),
         m_runner(m_node, m_clock, workers, m_links, m_replies, format, log),
-        m_directory(MemberListing(m_self, addresses.zone()), store, m_runner, m_clock, m_timers,
-                    log) {
+        m_directory(m_listing, store, m_runner, m_clock, m_timers, log) {
     m_listener.runner = &m_runner;
   }
 
@@ -114,6 +114,7 @@
   EventLog& m_log;
   const MonotonicClock m_clock;
   const NodeId m_self;
+  const MemberListing m_listing;
   PendingReplies m_replies;
   DispatchNode m_node;
   TimerThread m_timers;
--- a/tests/unit/unit-member_table.cpp
+++ b/tests/unit/unit-member_table.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 const NodeId kSelf(Address(1, 1), 1);
+constexpr std::uint32_t kMilliCores = 250;
 const Instant kStart = FromUnixMillis(1700000000000);
 
 Duration Millis(int millis) { return std::chrono::milliseconds(millis); }
@@ -20,7 +21,7 @@
 MemberBeat Beat(const NodeId& from, std::uint64_t sequence, std::uint64_t echo,
                 const std::string& zone = "celaya", bool draining = false,
                 std::uint64_t link_losses = 0) {
-  return {from, zone, draining, sequence, echo, link_losses, 0, 0};
+  return {MemberListing(from, zone, kMilliCores), draining, sequence, echo, link_losses, 0, 0};
 }
 
 WorkerListings Workers(const std::string& zone, std::uint32_t count) {
@@ -40,44 +41,54 @@
 }  // namespace
 
 TEST_CASE("two members of a zone share its workers, and one takes over from the other") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.SetWorkers(Workers("celaya", 24));
-  CHECK(table.OwnWorkers().size() == 24);
-  table.OnListed({MemberListing(Node(2), "celaya")}, kStart);
+  CHECK(table.OwnWorkers().workers().size() == 24);
+  table.OnListed({MemberListing(Node(2), "celaya", kMilliCores)}, kStart);
   table.OnBeat(Beat(Node(2), 1, 1), kStart);
-  const std::size_t own = table.OwnWorkers().size();
+  const std::size_t own = table.OwnWorkers().workers().size();
   CHECK(own > 4);
   CHECK(own < 20);
   CHECK(Has(table.OnTick(kStart + Millis(700)), MemberChange::Kind::kLost));
   table.OnStoreAnswer(kStart + Millis(800));
   table.OnTick(kStart + Millis(3300));
-  CHECK(table.OwnWorkers().size() == 24);
+  CHECK(table.OwnWorkers().workers().size() == 24);
 }
 
 TEST_CASE("workers of another zone are left to its members while one is in touch") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.SetWorkers(Workers("leon", 5));
-  table.OnListed({MemberListing(Node(2), "leon")}, kStart);
-  CHECK(table.OwnWorkers().empty());
+  table.OnListed({MemberListing(Node(2), "leon", kMilliCores)}, kStart);
+  CHECK(table.OwnWorkers().workers().empty());
   CHECK(Has(table.OnTick(kStart + Millis(1600)), MemberChange::Kind::kLost));
   table.OnStoreAnswer(kStart + Millis(1700));
   table.OnTick(kStart + Millis(4200));
-  CHECK(table.OwnWorkers().size() == 5);
+  CHECK(table.OwnWorkers().workers().size() == 5);
+}
+
+TEST_CASE("members own workers in proportion to what their callers leave of their processors") {
+  MemberTable table(MemberListing(kSelf, "celaya", 90));
+  table.SetWorkers(Workers("celaya", 300));
+  table.OnListed({MemberListing(Node(2), "celaya", 450)}, kStart);
+  const std::size_t own = table.OwnWorkers().workers().size();
+  // 40 of 440 thousandths of a core
+  CHECK(own > 10);
+  CHECK(own < 50);
 }
 
 TEST_CASE("a draining member owns nothing") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.SetWorkers(Workers("celaya", 5));
   table.OnBeat(Beat(Node(2), 1, 1), kStart);
   table.SetDraining();
-  CHECK(table.OwnWorkers().empty());
+  CHECK(table.OwnWorkers().workers().empty());
   CHECK(table.OwnerOf("celaya0") == Node(2));
 }
 
 // Found with a one-way cut: a member that hears the others but is not heard by them kept its
 // workers, which the others took, and took them back.
 TEST_CASE("a member that does not hear our beats is out of touch") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.OnBeat(Beat(Node(2), 1, 1), kStart);
   for (int i = 1; i <= 10; ++i) table.DueBeats(kStart + Millis(150 * i));
   for (int i = 1; i <= 5; ++i) table.OnBeat(Beat(Node(2), 1 + i, 1), kStart + Millis(150 * i));
@@ -89,7 +100,7 @@
 
 // Found with a member cut off from all others and the store: it took over the whole fleet.
 TEST_CASE("a member that is cut off leaves the workers of the others alone") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   WorkerListings workers = Workers("leon", 5);
   for (const WorkerListing& worker : Workers("celaya", 5)) workers.push_back(worker);
   table.SetWorkers(workers);
@@ -98,18 +109,18 @@
   table.OnStoreAnswer(kStart + Millis(500));
   table.OnTick(kStart + Millis(700));
   CHECK(table.Isolated());
-  CHECK(table.OwnWorkers().size() == 5);
+  CHECK(table.OwnWorkers().workers().size() == 5);
   // with an answer of the store, and after a while, the others are gone
   table.OnStoreAnswer(kStart + Millis(900));
   CHECK(table.Isolated());
   table.OnTick(kStart + Millis(3300));
   CHECK_FALSE(table.Isolated());
-  CHECK(table.OwnWorkers().size() == 10);
-  CHECK(table.DeputizedWorkers().size() == 5);
+  CHECK(table.OwnWorkers().workers().size() == 10);
+  CHECK(table.OwnWorkers().deputized().size() == 5);
 }
 
 TEST_CASE("a lost link is told once a tick") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.OnBeat(Beat(Node(2), 1, 1), kStart);
   for (int i = 0; i < 100; ++i) table.OnLinkDown(Node(2).address(), kStart);
   const MemberChanges changes = table.OnTick(kStart + Millis(50));
@@ -119,14 +130,14 @@
 }
 
 TEST_CASE("a lost link of the other side is told by its beat") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.OnBeat(Beat(Node(2), 1, 1), kStart);
   CHECK(Has(table.OnBeat(Beat(Node(2), 2, 2, "celaya", false, 1), kStart),
             MemberChange::Kind::kLinkLost));
 }
 
 TEST_CASE("another process at a member's address is told as the loss of the first") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.OnBeat(Beat(Node(2, 1), 5, 1), kStart);
   const MemberChanges changes = table.OnBeat(Beat(Node(2, 2), 1, 0), kStart + Millis(100));
   CHECK(Has(changes, MemberChange::Kind::kLost));
@@ -136,7 +147,7 @@
 // Found on the users' bench: after all had been killed and started again, members counted each
 // other as deaf for as long as it took to repeat the numbers of their first beats.
 TEST_CASE("beats to a restarted member go on counting") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.OnBeat(Beat(Node(2, 1), 1, 0), kStart);
   std::uint64_t sent = 0;
   for (int i = 0; i < 10; ++i) {
@@ -153,7 +164,7 @@
 }
 
 TEST_CASE("an echo of this VM's former process does not hide those of its own") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.OnBeat(Beat(Node(2), 900, 500), kStart);
   for (int i = 1; i <= 6; ++i) {
     const Instant now = kStart + Millis(150 * i);
@@ -166,7 +177,7 @@
 // Found on the users' bench: a frozen owner woke up and started runs by orders that had waited in
 // its sockets, while their coordinators had placed them elsewhere.
 TEST_CASE("orders are fresh while their echo is of a beat sent not long ago") {
-  MemberTable table(kSelf, "celaya");
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores));
   table.OnBeat(Beat(Node(2), 1, 0), kStart);
   CHECK_FALSE(table.IsFresh(Node(2), 0, kStart));
   std::uint64_t sequence = 0;
--- a/tests/unit/unit-platform.cpp
+++ b/tests/unit/unit-platform.cpp
@@ -19,6 +19,8 @@
     "listen_addresses.front=10.1.0.13:8161\n"
     "listen_addresses.ready=10.1.0.13:8167\n"
     "internal_port_range=7720,7735\n"
+    "limits.cpu_share=0.25\n"
+    "limits.cores=1\n"
     "bounds.max_hold_ms=1000\n"
     "bounds.stop_timeout_ms=50\n"
     "bounds.grace_period_s=6\n"
@@ -58,6 +60,7 @@
   CHECK(settings.addresses().callers().text() == "10.1.0.13:8161");
   CHECK(settings.addresses().peers().text() == "10.1.0.13:7720");
   CHECK(settings.addresses().store().text() == "10.200.1.7:8169");
+  CHECK(settings.milli_cores() == 250);
   CHECK(settings.leases().max_lease() == std::chrono::seconds(1));
   CHECK(settings.stop_grace() == std::chrono::seconds(6));
 }
@@ -109,7 +112,8 @@
 }
 
 TEST_CASE("a member's entry is read as it was written") {
-  const MemberListing member(NodeId(Address(0x0a000001, 7720), 1853117344822906486ULL), "celaya");
+  const MemberListing member(NodeId(Address(0x0a000001, 7720), 1853117344822906486ULL), "celaya",
+                             250);
   const auto read = DecodeMember(EncodeMember(member));
   REQUIRE(std::get_if<MemberListing>(&read) != nullptr);
   CHECK(std::get<MemberListing>(read) == member);
