Decline orders that come after their cancel; ignore news of runs that have ended

A coordinator's thread that has decided an order may send it after another thread has sent the cancel of the same run, and a link that was given up may be read after its successor; the owner told the cancelled run as absent and started it when the order came. Late news of an ended run could also mark a task as placed that waits. Ruled out: reports of another owner or run number (checked before); orders older than 1.2 s (declined before). Change: the owner keeps what it told as absent for 5 s and declines later orders of it; a coordinator takes news of placed and orphaned tasks only.

--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -104,6 +104,8 @@
     Instant at;
   };
   std::map<RunKey, Released> m_released;
+  // runs told as absent when they were cancelled: an order that comes after must not start
+  std::map<RunKey, Instant> m_cancelled;
   // reports of the event under way, by coordinator
   std::map<NodeId, std::vector<RunReport>> m_reports;
   Instant m_now{};
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -215,8 +215,9 @@
   const bool known = found != m_jobs.end() && key.step() < found->second.tasks.size() &&
                      key.index() < found->second.tasks[key.step()].size();
   Task* task = known ? &found->second.tasks[key.step()][key.index()] : nullptr;
-  const bool current = known && task->run_number == report.run().number() && task->owner == owner &&
-                       task->phase != TaskPhase::kDone;
+  const bool current =
+      known && task->run_number == report.run().number() && task->owner == owner &&
+      (task->phase == TaskPhase::kPlaced || task->phase == TaskPhase::kOrphaned);
   if (!current) {
     // a start that nobody waits for
     if (report.news() == RunNews::kStarted && !known) {
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -19,6 +19,8 @@
 constexpr Duration kTokenSkip = std::chrono::seconds(1);
 // longer than any run goes on without its coordinator's word
 constexpr Duration kKeepReleased = std::chrono::seconds(5);
+// longer than an order may be on its way before it counts as too old
+constexpr Duration kKeepCancelled = std::chrono::seconds(5);
 // for so long after a lost answer more are expected to be lost
 constexpr Duration kHastyTime = std::chrono::seconds(4);
 constexpr Duration kStall = std::chrono::milliseconds(500);
@@ -111,6 +113,11 @@
 
 void OwnerShard::On(const PlaceRuns& event, Instant now, OwnerEffects& /*out*/) {
   for (const RunOrder& order : event.runs()) {
+    if (m_cancelled.count(order.run()) > 0) {
+      m_reports[event.coordinator()].emplace_back(order.run(), RunNews::kDeclined, RunEnd::kAbsent,
+                                                  "", "cancelled_before");
+      continue;
+    }
     m_waiting.emplace_back(order, event.coordinator(), event.service(), event.payload(),
                            event.priority(), now, now + event.objective_left(),
                            now + event.useful_left());
@@ -137,6 +144,7 @@
                                                   released->second.worker, "new_owner");
       continue;
     }
+    m_cancelled.insert_or_assign(run, m_now);
     m_reports[event.coordinator()].emplace_back(run, RunNews::kEnded, RunEnd::kAbsent, "",
                                                 "not_here");
   }
@@ -216,6 +224,9 @@
   for (auto item = m_released.begin(); item != m_released.end();) {
     item = now - item->second.at > kKeepReleased ? m_released.erase(item) : std::next(item);
   }
+  for (auto item = m_cancelled.begin(); item != m_cancelled.end();) {
+    item = now - item->second > kKeepCancelled ? m_cancelled.erase(item) : std::next(item);
+  }
 }
 
 void OwnerShard::TakeIn(Owned& owned, const News& news, Instant now, OwnerEffects& out) {
--- a/tests/unit/unit-job_shard.cpp
+++ b/tests/unit/unit-job_shard.cpp
@@ -314,3 +314,16 @@
   CHECK(id_of({1, payload, {Step(5000)}, {}}) == ErrorId::kTooManyTasks);
   CHECK(id_of({1, payload, {Step(1)}, {"gang"}}) == ErrorId::kNotBuilt);
 }
+
+TEST_CASE("news of a run that come after its end change nothing") {
+  Coordinator node;
+  node.Submit({Step(1)});
+  // nothing to place it with again
+  node.board.Forget(kOwner);
+  node.Report(0, 0, 1, RunNews::kEnded, RunEnd::kLapsed);
+  node.Report(0, 0, 1, RunNews::kStarted);
+  node.board.Update(kOwner, "celaya", Digest({WorkerRoom("w1", Resources(64000, 65536, 0), 1.0)}));
+  node.Feed(RunReports(kOwner, {}, {}));
+  node.Feed(JobTick());
+  CHECK(node.Placed().size() == 2);
+}
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -407,3 +407,18 @@
   owner.AnswerRenewal({Run(0)}, {EndedRun(1, Run(5), RunEnd::kDone)});
   CHECK(owner.starts.size() == 1);
 }
+
+// Found on the users' bench: a coordinator's threads, or a lost link and its successor, let a
+// cancel overtake the order; the run was placed again elsewhere and ran twice side by side.
+TEST_CASE("an order that comes after its cancel does not start") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Feed(CancelRuns(kCoordinator, kService, {Run(0)}));
+  REQUIRE(owner.ReportOf(Run(0)));
+  CHECK(owner.ReportOf(Run(0))->news() == RunNews::kEnded);
+  owner.now += Millis(1100);
+  owner.Place({0, 1});
+  REQUIRE(owner.starts.size() == 1);
+  CHECK(owner.starts[0].run() == Run(1));
+  CHECK(owner.ReportOf(Run(0))->news() == RunNews::kDeclined);
+}
