Send new orders without room back at once; let news of starts wait for the tick

Cause: an order that found its owner full waited 25 ms and the rest of a tick before it went to one with room, out of some 130 ms that a check has to spare; each start was a message of its own, read by VMs of 0.09 cores. Change: new orders go back at once while another owner offers room, at most twice a run; news of starts travel with other news to the coordinator or with the next tick.

--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -22,14 +22,16 @@
 class RunOrder : public Comparable<RunOrder> {
  public:
   RunOrder(const RunKey& run, const Resources& needs, Duration estimate, std::string label,
-           std::string near_rack, std::uint32_t per_worker_limit, std::vector<WorkerId> avoid)
+           std::string near_rack, std::uint32_t per_worker_limit, std::vector<WorkerId> avoid,
+           std::uint32_t declines = 0)
       : m_run(run),
         m_needs(needs),
         m_estimate(estimate),
         m_label(std::move(label)),
         m_near_rack(std::move(near_rack)),
         m_per_worker_limit(per_worker_limit),
-        m_avoid(std::move(avoid)) {}
+        m_avoid(std::move(avoid)),
+        m_declines(declines) {}
   const RunKey& run() const { return m_run; }
   const Resources& needs() const { return m_needs; }
   Duration estimate() const { return m_estimate; }
@@ -38,8 +40,11 @@
   std::uint32_t per_worker_limit() const { return m_per_worker_limit; }
   /// @brief Workers on which the task failed or was lost before.
   const std::vector<WorkerId>& avoid() const { return m_avoid; }
+  /// @brief How many owners in a row have sent the task back.
+  std::uint32_t declines() const { return m_declines; }
   auto Fields() const {
-    return std::tie(m_run, m_needs, m_estimate, m_label, m_near_rack, m_per_worker_limit, m_avoid);
+    return std::tie(m_run, m_needs, m_estimate, m_label, m_near_rack, m_per_worker_limit, m_avoid,
+                    m_declines);
   }
 
  private:
@@ -50,6 +55,7 @@
   std::string m_near_rack;
   std::uint32_t m_per_worker_limit;
   std::vector<WorkerId> m_avoid;
+  std::uint32_t m_declines;
 };
 
 /// @brief Coordinator to owner: start these runs of one job.
@@ -289,8 +295,8 @@
   /// @brief Highest fencing token that the sender knows to be in use.
   std::uint64_t token_floor() const { return m_token_floor; }
   auto Fields() const {
-    return std::tie(m_from, m_draining, m_sequence, m_echo, m_link_losses,
-                    m_configuration_version, m_token_floor);
+    return std::tie(m_from, m_draining, m_sequence, m_echo, m_link_losses, m_configuration_version,
+                    m_token_floor);
   }
 
  private:
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -76,6 +76,8 @@
   void On(const OwnerTick& event, Instant now, OwnerEffects& out);
 
   void TakeIn(Owned& owned, const News& news, Instant now, OwnerEffects& out);
+  // returns new orders that find no room here, if another owner has some
+  void SendBack();
   void DeclineOverdue(Instant now);
   void StartWaiting(Instant now, OwnerEffects& out);
   bool TryStart(const WaitingRun& waiting, Instant now, OwnerEffects& out);
@@ -84,7 +86,8 @@
   void Decline(const WaitingRun& waiting, const std::string& reason);
   void DeclineAll(const std::string& reason);
   bool Hasty(Instant now) const;
-  void FlushReports(OwnerEffects& out);
+  // news of starts wait for other news to the same coordinator, or for the next tick
+  void FlushReports(bool all, OwnerEffects& out);
   // of the workers named only, or of all with room
   std::vector<RoomDigest> DigestsLocked(const std::set<WorkerId>& named) const;
   RoomUpdate RoomsFor(const std::vector<RunReport>& reports) const;
@@ -109,7 +112,7 @@
   std::map<RunKey, Released> m_released;
   // runs told as absent when they were cancelled: an order that comes after must not start
   std::map<RunKey, Instant> m_cancelled;
-  // reports of the event under way, by coordinator
+  // reports not sent yet, by coordinator; beyond an event only news of starts
   std::map<NodeId, std::vector<RunReport>> m_reports;
   Instant m_now{};
   // when an answer of any worker was lost last
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -52,9 +52,8 @@
 }
 
 Json Write(const RunOrder& order) {
-  return {Write(order.run()), Write(order.needs()), Write(order.estimate()),
-          order.label(),      order.near_rack(),    order.per_worker_limit(),
-          order.avoid()};
+  return {Write(order.run()), Write(order.needs()),     Write(order.estimate()), order.label(),
+          order.near_rack(),  order.per_worker_limit(), order.avoid(),           order.declines()};
 }
 RunOrder ReadOrder(const Json& json) {
   return {ReadRun(json.at(0)),
@@ -63,7 +62,8 @@
           json.at(3).get<std::string>(),
           json.at(4).get<std::string>(),
           json.at(5).get<std::uint32_t>(),
-          json.at(6).get<std::vector<std::string>>()};
+          json.at(6).get<std::vector<std::string>>(),
+          json.at(7).get<std::uint32_t>()};
 }
 
 Json Write(const RunReport& report) {
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -166,7 +166,7 @@
       if (task.phase != TaskPhase::kReady) continue;
       const RunKey run(TaskKey(order.key(), 0, s, i), task.run_number + 1);
       const RunOrder run_order(run, step.needs(), step.estimate(), step.label(), step.near_rack(),
-                               step.per_worker_limit(), task.avoid);
+                               step.per_worker_limit(), task.avoid, task.declines);
       const auto offer =
           m_rooms.Book(order.service(), run_order, job.received_at + order.objective() - now);
       if (!offer) return;
@@ -217,9 +217,8 @@
   const bool known = found != m_jobs.end() && key.step() < found->second.tasks.size() &&
                      key.index() < found->second.tasks[key.step()].size();
   Task* task = known ? &found->second.tasks[key.step()][key.index()] : nullptr;
-  const bool current =
-      known && task->run_number == report.run().number() && task->owner == owner &&
-      (task->phase == TaskPhase::kPlaced || task->phase == TaskPhase::kOrphaned);
+  const bool current = known && task->run_number == report.run().number() && task->owner == owner &&
+                       (task->phase == TaskPhase::kPlaced || task->phase == TaskPhase::kOrphaned);
   if (!current) {
     // a start that nobody waits for
     if (report.news() == RunNews::kStarted && !known) {
--- a/src/dispatch/room_board.cc
+++ b/src/dispatch/room_board.cc
@@ -46,9 +46,9 @@
   entry.wait = digest.wait();
   entry.milli_cores = digest.milli_cores();
   for (const WorkerRoom& room : digest.rooms()) {
-    const auto known = std::find_if(
-        entry.rooms.begin(), entry.rooms.end(),
-        [&room](const WorkerRoom& other) { return other.worker() == room.worker(); });
+    const auto known =
+        std::find_if(entry.rooms.begin(), entry.rooms.end(),
+                     [&room](const WorkerRoom& other) { return other.worker() == room.worker(); });
     if (known != entry.rooms.end()) {
       *known = room;
     } else if (room.room().milli_cores() > 0) {
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -9,6 +9,8 @@
 
 // a run that waits longer goes back to its coordinator if another owner has room
 constexpr Duration kMoveAfter = std::chrono::milliseconds(25);
+// so often it goes back at once; what all seem to have room for and nobody has waits then
+constexpr std::uint32_t kPromptMoves = 2;
 // a refused owner stays away for so long, doubling with each refusal in a row
 constexpr Duration kFirstRefusalPause = std::chrono::milliseconds(150);
 // the usual owner is alive; its cut from us lasts seconds
@@ -53,7 +55,7 @@
   std::visit([&](const auto& event) { On(event, in.now(), out); }, in.event());
   StartWaiting(in.now(), out);
   Upkeep(in.now(), out);
-  FlushReports(out);
+  FlushReports(std::holds_alternative<OwnerTick>(in.event()), out);
   return out;
 }
 
@@ -111,7 +113,7 @@
   for (auto& [id, owned] : m_workers) owned.session.CancelAllOf(event.coordinator());
 }
 
-void OwnerShard::On(const PlaceRuns& event, Instant now, OwnerEffects& /*out*/) {
+void OwnerShard::On(const PlaceRuns& event, Instant now, OwnerEffects& out) {
   for (const RunOrder& order : event.runs()) {
     if (m_cancelled.count(order.run()) > 0) {
       m_reports[event.coordinator()].emplace_back(order.run(), RunNews::kDeclined, RunEnd::kAbsent,
@@ -122,6 +124,8 @@
                            event.priority(), now, now + event.objective_left(),
                            now + event.useful_left());
   }
+  StartWaiting(now, out);
+  SendBack();
 }
 
 void OwnerShard::On(const CancelRuns& event, Instant /*now*/, OwnerEffects& /*out*/) {
@@ -261,6 +265,18 @@
                              {"retry_in_ms", MillisText(owned.retry_at - now)}}));
 }
 
+void OwnerShard::SendBack() {
+  const auto gone =
+      std::stable_partition(m_waiting.begin(), m_waiting.end(), [this](const WaitingRun& waiting) {
+        return waiting.since() != m_now || waiting.order().declines() >= kPromptMoves ||
+               !m_peers.HasRoomElsewhere(m_self, waiting.service(), waiting.order().needs());
+      });
+  for (auto waiting = gone; waiting != m_waiting.end(); ++waiting) {
+    Decline(*waiting, "room_elsewhere");
+  }
+  m_waiting.erase(gone, m_waiting.end());
+}
+
 void OwnerShard::DeclineOverdue(Instant now) {
   std::vector<WaitingRun> kept;
   kept.reserve(m_waiting.size());
@@ -343,13 +359,20 @@
   m_waiting.clear();
 }
 
-void OwnerShard::FlushReports(OwnerEffects& out) {
-  for (auto& [coordinator, reports] : m_reports) {
-    if (reports.empty()) continue;
+void OwnerShard::FlushReports(bool all, OwnerEffects& out) {
+  for (auto item = m_reports.begin(); item != m_reports.end();) {
+    auto& [coordinator, reports] = *item;
+    const bool only_starts =
+        std::all_of(reports.begin(), reports.end(),
+                    [](const RunReport& report) { return report.news() == RunNews::kStarted; });
+    if (only_starts && !all) {
+      ++item;
+      continue;
+    }
     RoomUpdate rooms = RoomsFor(reports);
     out.emplace_back(ReportRuns(coordinator, std::move(reports), std::move(rooms)));
+    item = m_reports.erase(item);
   }
-  m_reports.clear();
 }
 
 RoomUpdate OwnerShard::RoomsFor(const std::vector<RunReport>& reports) const {
@@ -376,9 +399,8 @@
     Sum& sum = sums[session.listing().service()];
     const bool wanted = named.empty() || named.count(id) > 0;
     const auto allowance =
-        session.Usable()
-            ? outliers.Allowance(session.listing().address(), kUnlimitedSlots, m_now)
-            : 0;
+        session.Usable() ? outliers.Allowance(session.listing().address(), kUnlimitedSlots, m_now)
+                         : 0;
     if (allowance > 0) sum.milli_cores += session.listing().capacity().milli_cores();
     if (!wanted) continue;
     const Resources room = session.runs() < allowance ? session.Room() : Resources(0, 0, 0);
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -74,10 +74,12 @@
                       start.call().number(), outcome, kWorkerClock));
   }
 
-  void Place(std::vector<std::uint32_t> indices, const NodeId& coordinator = kCoordinator) {
+  void Place(std::vector<std::uint32_t> indices, const NodeId& coordinator = kCoordinator,
+             std::uint32_t declines = 0) {
     std::vector<RunOrder> orders;
     for (const std::uint32_t index : indices) {
-      orders.emplace_back(Run(index), kTaskNeeds, Millis(100), "", "", 0, std::vector<WorkerId>());
+      orders.emplace_back(Run(index), kTaskNeeds, Millis(100), "", "", 0, std::vector<WorkerId>(),
+                          declines);
     }
     Feed(PlaceRuns(coordinator, kService, std::make_shared<const std::string>("payload"),
                    Millis(300), Millis(1500), 0, orders));
@@ -92,6 +94,13 @@
     return {kCoordinator, kService, "w1", Run(index), kTaskNeeds, Millis(100)};
   }
 
+  // another owner tells that it has room
+  void OfferElsewhere() {
+    m_board.Update(kOtherCoordinator, "celaya",
+                   RoomDigest(kService, {WorkerRoom("w9", Resources(16000, 32768, 0), 1.0)},
+                              Duration::zero(), 16000));
+  }
+
   std::optional<RunReport> ReportOf(const RunKey& run) const {
     for (auto report = reports.rbegin(); report != reports.rend(); ++report) {
       if (report->run() == run) return *report;
@@ -149,6 +158,7 @@
   owner.Place({0});
   owner.AnswerStart(owner.starts[0], CallOutcome::kUnknown);
   owner.AnswerRenewal({Run(0)}, {});
+  owner.Feed(OwnerTick());
   REQUIRE(owner.ReportOf(Run(0)));
   CHECK(owner.ReportOf(Run(0))->news() == RunNews::kStarted);
 }
@@ -164,6 +174,7 @@
   CHECK(owner.renewals.back().call().token() > before);
   SECTION("the run goes on") {
     owner.AnswerRenewal({Run(0)}, {});
+    owner.Feed(OwnerTick());
     REQUIRE(owner.ReportOf(Run(0)));
     CHECK(owner.ReportOf(Run(0))->news() == RunNews::kStarted);
   }
@@ -278,6 +289,8 @@
   owner.Hold({Listing("w1", 10)});
   owner.Place({0});
   owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.Feed(OwnerTick());
+  REQUIRE(owner.ReportOf(Run(0)));
   owner.reports.clear();
   for (int i = 0; i < 10; ++i) {
     const RenewLease renewal = owner.renewals.back();
@@ -422,3 +435,39 @@
   CHECK(owner.starts[0].run() == Run(1));
   CHECK(owner.ReportOf(Run(0))->news() == RunNews::kDeclined);
 }
+
+TEST_CASE("news of a start wait for other news to its coordinator, or for the next tick") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0, 1});
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  CHECK(owner.reports.empty());
+  owner.AnswerRenewal({Run(1)}, {EndedRun(1, Run(0), RunEnd::kDone)});
+  REQUIRE(owner.reports.size() == 3);
+  CHECK(owner.reports[0].news() == RunNews::kStarted);
+  CHECK(owner.ReportOf(Run(0))->news() == RunNews::kEnded);
+  owner.reports.clear();
+  owner.Place({2}, kOtherCoordinator);
+  owner.AnswerStart(owner.starts[2], CallOutcome::kOk);
+  CHECK(owner.reports.empty());
+  owner.Feed(OwnerTick());
+  CHECK(owner.ReportOf(Run(2))->news() == RunNews::kStarted);
+}
+
+TEST_CASE("an order without room goes back at once while another owner has some") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0, 1, 2});
+  CHECK(owner.starts.size() == 2);
+  CHECK_FALSE(owner.ReportOf(Run(2)));
+  owner.OfferElsewhere();
+  owner.now += Millis(1);
+  owner.Place({3});
+  REQUIRE(owner.ReportOf(Run(3)));
+  CHECK(owner.ReportOf(Run(3))->news() == RunNews::kDeclined);
+  CHECK(owner.ReportOf(Run(3))->reason() == "room_elsewhere");
+  // what was sent back before waits a while
+  owner.Place({4}, kCoordinator, 2);
+  CHECK_FALSE(owner.ReportOf(Run(4)));
+  CHECK_FALSE(owner.ReportOf(Run(2)));
+}
