--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -42,6 +42,8 @@
   struct Task {
     TaskPhase phase = TaskPhase::kBlocked;
     std::uint32_t run_number = 0;
+    // runs that ended, for whatever cause
+    std::uint32_t ended_runs = 0;
     NodeId owner;
     // where it runs; empty until its start is reported
     WorkerId worker;
--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -121,6 +121,8 @@
     // renewals with higher call numbers must list the run
     CallNumber known_by_call = 0;
     Instant since{};
+    // the task ended badly on another worker before
+    bool repeated = false;
     bool stop_wanted = false;
     bool straggler = false;
     Instant stop_sent{};
@@ -132,6 +134,8 @@
   void Fence(SessionNews& news);
   void TakeEnds(const WorkerReport& report, Instant now, SessionNews& news);
   void CompareRunning(const RenewalReplied& reply, Instant now, SessionNews& news);
+  // whether a failed run says something of the worker, not only of its job
+  bool TellsOfWorker(const RunKey& run, const Run& record);
   bool NewerRenewalUnderWay(CallNumber call) const;
   std::int64_t LeaseUntil(Instant now) const;
   WorkerCall MakeCall(CallNumber call, std::int64_t lease_until_ms) const;
@@ -153,6 +157,8 @@
   bool m_suspect = false;
   // start orders in a row that got no answer
   std::uint32_t m_lost_starts = 0;
+  // the job whose failure was counted last
+  std::optional<JobKey> m_failed_job;
   // the worker's clock at one of our points in time; not set before the first answer
   std::optional<std::int64_t> m_clock_ms;
   Instant m_clock_read_at{};
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -14,7 +14,7 @@
 constexpr std::size_t kMaxFinished = 5000;
 // declines in a row after which a task waits for the next tick
 constexpr std::uint32_t kPromptDeclines = 3;
-// runs of a task that ended for no fault of its own, after which the job is given up
+// runs of a task that ended, for whatever cause, after which the job is given up
 constexpr std::uint32_t kMaxRuns = 12;
 // share of a caller's patience that may be spent waiting for room
 constexpr double kLongestWaitShare = 0.4;
@@ -273,6 +273,7 @@
   task.phase = TaskPhase::kReady;
   task.avoid.push_back(report.worker());
   if (report.end() == RunEnd::kFailed) ++task.failures;
+  ++task.ended_runs;
   if (job.closing) return;
   out.emplace_back(LogEvent(LogLevel::kWarning, "run_ended",
                             {{"job", detail::JobText(report.run().task().job())},
@@ -291,10 +292,10 @@
           now, out);
     return;
   }
-  if (task.run_number >= kMaxRuns) {
+  if (task.ended_runs >= kMaxRuns) {
     Close(job, WorkVerdict::kExpired,
           Error(ErrorId::kTaskFailed,
-                "a task was lost " + std::to_string(task.run_number) + " times"),
+                "a task was lost " + std::to_string(task.ended_runs) + " times"),
           now, out);
     return;
   }
@@ -305,7 +306,12 @@
                           JobEffects& out) {
   task.phase = TaskPhase::kReady;
   ++task.declines;
-  if (!report.worker().empty()) task.avoid.push_back(report.worker());
+  if (report.reason() == CallOutcomeWord(CallOutcome::kStaleRun)) {
+    // the job was handed in before, elsewhere
+    task.run_number += kMaxRuns;
+  } else if (!report.worker().empty()) {
+    task.avoid.push_back(report.worker());
+  }
   if (job.closing) return;
   if (job.refusing) {
     FinishRefusal(job, now, out);
@@ -316,6 +322,15 @@
     Close(job, WorkVerdict::kExpired, cause, now, out);
     return;
   }
+  out.emplace_back(LogEvent(LogLevel::kInfo, "run_declined",
+                            {{"job", detail::JobText(report.run().task().job())},
+                             {"task", std::to_string(report.run().task().index())},
+                             {"run", std::to_string(report.run().number())},
+                             {"owner", task.owner.text()},
+                             {"worker", report.worker()},
+                             {"why", report.reason()},
+                             {"in_a_row", std::to_string(task.declines)},
+                             {"after_ms", std::to_string(ToMillis(now - job.received_at))}}));
   if (task.declines <= kPromptDeclines) PlaceReady(job, now, out);
 }
 
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphireflow/dispatch/detail/job_text.h"
+
 namespace sapphireflow {
 namespace {
 
@@ -180,6 +182,9 @@
   if (event.outcome() != CallOutcome::kOk) {
     out.emplace_back(LogEvent(LogLevel::kWarning, "start_refused",
                               {{"worker", event.worker()},
+                               {"job", detail::JobText(event.run().task().job())},
+                               {"task", std::to_string(event.run().task().index())},
+                               {"run", std::to_string(event.run().number())},
                                {"outcome", CallOutcomeWord(event.outcome())},
                                {"token", std::to_string(event.token())}}));
   }
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -78,6 +78,7 @@
   record.start_token = m_token;
   record.start_call = call;
   record.since = now;
+  record.repeated = !waiting.order().avoid().empty();
   m_runs[waiting.order().run()] = record;
   m_lease_sent = now;
   return {MakeCall(call, LeaseUntil(now)), waiting.order().run(), waiting.payload(),
@@ -201,7 +202,8 @@
     const Run& record = found->second;
     if (ended.end() == RunEnd::kDone) {
       news.finished.emplace_back(record.estimate, now - record.since);
-    } else if (ended.end() == RunEnd::kFailed || record.straggler) {
+    } else if (record.straggler ||
+               (ended.end() == RunEnd::kFailed && TellsOfWorker(ended.run(), record))) {
       ++news.failures;
     }
     if (record.coordinator) {
@@ -214,6 +216,13 @@
   }
 }
 
+bool WorkerSession::TellsOfWorker(const RunKey& run, const Run& record) {
+  const JobKey job = run.task().job();
+  if (record.repeated || m_failed_job == job) return false;
+  m_failed_job = job;
+  return true;
+}
+
 void WorkerSession::CompareRunning(const RenewalReplied& reply, Instant now, SessionNews& news) {
   const auto& listed = reply.report()->running();
   const std::set<RunKey> running(listed.begin(), listed.end());
--- a/src/placement/outlier_detector.cc
+++ b/src/placement/outlier_detector.cc
@@ -10,7 +10,8 @@
 constexpr std::uint32_t kUnprovenAllowance = 2;
 constexpr std::uint32_t kSuspectAllowance = 1;
 constexpr Duration kFirstTimeOut = std::chrono::seconds(1);
-constexpr std::uint32_t kMaxDoublings = 5;
+// a probe every four seconds costs one task; a worker that is well again is missed for no longer
+constexpr std::uint32_t kMaxDoublings = 2;
 
 }  // namespace
 
@@ -31,6 +32,8 @@
 
 void ConsecutiveFailureDetector::OnFailure(const Address& worker, Instant now) {
   Record& record = m_records[worker];
+  // these tasks were started before the worker was taken out
+  if (record.failures >= kFailuresToTakeOut && now < record.out_until) return;
   ++record.failures;
   record.proven = false;
   if (record.failures < kFailuresToTakeOut) return;
--- a/tests/unit/unit-job_shard.cpp
+++ b/tests/unit/unit-job_shard.cpp
@@ -327,3 +327,23 @@
   node.Feed(JobTick());
   CHECK(node.Placed().size() == 2);
 }
+
+// Found by the soak, seed 142: a job that was handed in again at another entry VM numbered its
+// runs from 1, which the workers of its first life refused as old, over and over.
+TEST_CASE("a run that a worker calls old is numbered ahead of any before it") {
+  Coordinator node;
+  node.Submit({Step(1)});
+  node.Report(0, 0, 1, RunNews::kDeclined, RunEnd::kAbsent, kOwner, "stale_run");
+  const auto placed = node.Placed();
+  REQUIRE(placed.size() == 2);
+  const RunKey again = placed.rbegin()->first;
+  // a coordinator gives a task up after a dozen runs
+  CHECK(again.number() > 12);
+  const auto* order = std::get_if<PlaceRuns>(&node.told.back().message());
+  REQUIRE(order != nullptr);
+  CHECK(order->runs()[0].avoid().empty());
+  // the number is no count: the job is not given up for it
+  node.Report(0, 0, again.number(), RunNews::kEnded, RunEnd::kLapsed);
+  CHECK(node.answers.empty());
+  CHECK(node.Placed().size() == 3);
+}
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -33,13 +33,13 @@
 // an owner shard with a clock that is driven by hand, and its effects sorted by kind
 class Owner {
  public:
-  Owner()
+  explicit Owner(const std::string& outliers = "trusting")
       : m_board(kSelf, "celaya", MakeOwnerChoice("earliest-end")),
         m_tokens(kSelf),
         m_shard(kSelf, LeaseLimits(Millis(1000)),
                 OwnerPolicies(MakeStartOrder("least-slack"),
                               std::make_unique<SlowestSufficientChoice>(2.0),
-                              MakeOutlierDetector("trusting")),
+                              MakeOutlierDetector(outliers)),
                 m_tokens, m_next_call, m_board) {}
 
   void Feed(OwnerEvent event) {
@@ -471,3 +471,26 @@
   CHECK_FALSE(owner.ReportOf(Run(4)));
   CHECK_FALSE(owner.ReportOf(Run(2)));
 }
+
+// Found by the soak, seed 141: the tasks of a job that can never be done took three workers out.
+TEST_CASE("a job that fails wherever it runs is not held against the workers") {
+  Owner owner("consecutive-failures");
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0, 1});
+  REQUIRE(owner.starts.size() == 2);
+  for (const StartRun& start : owner.starts) owner.AnswerStart(start, CallOutcome::kOk);
+  owner.AnswerRenewal({},
+                      {EndedRun(1, Run(0), RunEnd::kFailed), EndedRun(2, Run(1), RunEnd::kFailed)});
+  // both again, after they failed elsewhere, too
+  std::vector<RunOrder> orders;
+  for (const std::uint32_t index : {0U, 1U}) {
+    orders.emplace_back(Run(index, 3), kTaskNeeds, Millis(100), "", "", 0,
+                        std::vector<WorkerId>{"w2"});
+  }
+  owner.Feed(PlaceRuns(kCoordinator, kService, std::make_shared<const std::string>("payload"),
+                       Millis(300), Millis(1500), 0, orders));
+  REQUIRE(owner.starts.size() >= 3);
+  owner.AnswerStart(owner.starts[2], CallOutcome::kOk);
+  owner.AnswerRenewal({}, {EndedRun(3, Run(0, 3), RunEnd::kFailed)});
+  CHECK(owner.starts.size() == 4);
+}
--- a/tests/unit/unit-placement.cpp
+++ b/tests/unit/unit-placement.cpp
@@ -99,3 +99,22 @@
   }
   CHECK(MakePlacer("magic", 1) == nullptr);
 }
+
+// Found by the soak, seed 142: five runs lost at once on a mute worker took it out for sixteen
+// seconds, though it was well again after one.
+TEST_CASE("what fails while a worker is out does not take it out for longer") {
+  ConsecutiveFailureDetector detector;
+  const Address worker(1, 1);
+  detector.OnSuccess(worker);
+  for (int i = 0; i < 20; ++i) detector.OnFailure(worker, kNow);
+  const Instant probe = kNow + std::chrono::seconds(1);
+  CHECK(detector.ProbeAt(worker) == probe);
+  CHECK(detector.Allowance(worker, 8, probe) == 1);
+  // each probe that fails doubles the time, up to a limit
+  Instant now = probe;
+  for (int i = 0; i < 10; ++i) {
+    detector.OnFailure(worker, now);
+    CHECK(detector.ProbeAt(worker) <= now + std::chrono::seconds(4));
+    now = detector.ProbeAt(worker);
+  }
+}
