Add the fault soak

Change: sapphireflow-soak: nodes as processes, a store and workers that speak the platform's protocol, proxies, a random schedule of faults from a seed, and the promises checked while it runs (tests/soak/README.md).

--- /dev/null
+++ b/tests/soak/fault_proxy.cc
@@ -0,0 +1,161 @@
+// The proxy's connections, all on one thread.
+#include "fault_proxy.h"
+
+#include <array>
+#include <asio.hpp>
+#include <atomic>
+#include <set>
+#include <thread>
+
+namespace sapphireflow::soak {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t kChunk = 16384;
+
+tcp::endpoint Endpoint(const Address& address) {
+  return {asio::ip::make_address_v4(address.ip()), address.port()};
+}
+
+void Reset(tcp::socket& socket) {
+  asio::error_code ignored;
+  // a close with this option sends a reset
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+struct Faults {
+  std::atomic<LinkFault> fault{LinkFault::kNone};
+  std::atomic<Duration::rep> delay{0};
+};
+
+// one connection: two sockets, and a buffer for each direction
+class Pair : public std::enable_shared_from_this<Pair> {
+ public:
+  Pair(tcp::socket caller, asio::io_context& context, const Faults& faults)
+      : m_caller(std::move(caller)), m_called(context), m_context(context), m_faults(faults) {}
+
+  void Start(const Address& target) {
+    m_called.async_connect(Endpoint(target), [self = shared_from_this()](asio::error_code failed) {
+      if (failed) return self->End();
+      asio::error_code ignored;
+      self->m_called.set_option(tcp::no_delay(true), ignored);
+      self->m_caller.set_option(tcp::no_delay(true), ignored);
+      self->Read(self->m_caller, self->m_called, self->m_there);
+      self->Read(self->m_called, self->m_caller, self->m_back);
+    });
+  }
+
+  void End() {
+    Reset(m_caller);
+    Reset(m_called);
+  }
+
+ private:
+  using Buffer = std::array<char, kChunk>;
+
+  void Read(tcp::socket& from, tcp::socket& to, Buffer& buffer) {
+    from.async_read_some(asio::buffer(buffer), [self = shared_from_this(), &from, &to, &buffer](
+                                                   asio::error_code failed, std::size_t size) {
+      if (failed) return self->End();
+      self->Pass(from, to, buffer, size);
+    });
+  }
+
+  void Pass(tcp::socket& from, tcp::socket& to, Buffer& buffer, std::size_t size) {
+    const LinkFault fault = m_faults.fault;
+    const bool lost =
+        fault == LinkFault::kSilenced || (fault == LinkFault::kOneWay && &to == &m_caller);
+    // a connection that lost bytes never says anything again: the rest would make no sense
+    if (lost) m_broken = true;
+    if (m_broken) return;
+    if (fault == LinkFault::kDelayed) {
+      const auto timer = std::make_shared<asio::steady_timer>(m_context, Duration(m_faults.delay));
+      timer->async_wait([self = shared_from_this(), timer, &from, &to, &buffer,
+                         size](asio::error_code) { self->Write(from, to, buffer, size); });
+      return;
+    }
+    Write(from, to, buffer, size);
+  }
+
+  void Write(tcp::socket& from, tcp::socket& to, Buffer& buffer, std::size_t size) {
+    asio::async_write(
+        to, asio::buffer(buffer, size),
+        [self = shared_from_this(), &from, &to, &buffer](asio::error_code failed, std::size_t) {
+          if (failed) return self->End();
+          self->Read(from, to, buffer);
+        });
+  }
+
+  tcp::socket m_caller;
+  tcp::socket m_called;
+  asio::io_context& m_context;
+  const Faults& m_faults;
+  bool m_broken = false;
+  Buffer m_there{};
+  Buffer m_back{};
+};
+
+}  // namespace
+
+class FaultProxy::Impl {
+ public:
+  Impl(const Address& listen, const Address& target)
+      : m_target(target), m_acceptor(m_context, Endpoint(listen)) {
+    Accept();
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+
+  ~Impl() {
+    m_context.stop();
+    m_thread.join();
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void Set(LinkFault fault, Duration delay) {
+    m_faults.delay = delay.count();
+    m_faults.fault = fault;
+    if (fault == LinkFault::kRefused) ResetAll();
+  }
+
+  void ResetAll() {
+    asio::post(m_context, [this] {
+      for (const auto& weak : m_pairs) {
+        if (const auto pair = weak.lock()) pair->End();
+      }
+      m_pairs.clear();
+    });
+  }
+
+ private:
+  void Accept() {
+    m_acceptor.async_accept([this](asio::error_code failed, tcp::socket caller) {
+      if (!failed && m_faults.fault == LinkFault::kRefused) {
+        Reset(caller);
+      } else if (!failed) {
+        const auto pair = std::make_shared<Pair>(std::move(caller), m_context, m_faults);
+        m_pairs.insert(pair);
+        pair->Start(m_target);
+      }
+      Accept();
+    });
+  }
+
+  const Address m_target;
+  Faults m_faults;
+  asio::io_context m_context;
+  tcp::acceptor m_acceptor;
+  // used by the proxy's thread only
+  std::set<std::weak_ptr<Pair>, std::owner_less<std::weak_ptr<Pair>>> m_pairs;
+  std::thread m_thread;
+};
+
+FaultProxy::FaultProxy(const Address& listen, const Address& target)
+    : m_impl(std::make_unique<Impl>(listen, target)) {}
+FaultProxy::~FaultProxy() = default;
+void FaultProxy::Set(LinkFault fault, Duration delay) { m_impl->Set(fault, delay); }
+void FaultProxy::ResetAll() { m_impl->ResetAll(); }
+
+}  // namespace sapphireflow::soak
--- /dev/null
+++ b/tests/soak/fleet.cc
@@ -0,0 +1,191 @@
+// Putting a fleet together.
+#include "fleet.h"
+
+#include <csignal>
+#include <fstream>
+#include <future>
+
+namespace sapphireflow::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+// 127.10.0.0/16; a slot is a /24 of it
+constexpr std::uint32_t kLoopback = 0x7f0a0000;
+constexpr std::uint32_t kSlotSize = 256;
+constexpr std::uint32_t kFirstNode = 1;
+constexpr std::uint32_t kFirstWorker = 60;
+constexpr std::uint32_t kStore = 200;
+constexpr std::uint16_t kFrontPort = 8161;
+constexpr std::uint16_t kReadyPort = 8167;
+constexpr std::uint16_t kFrontLinkPort = 8261;
+constexpr std::uint16_t kStorePort = 8169;
+constexpr std::uint16_t kWorkerPort = 8000;
+constexpr std::uint16_t kWorkerLinkPort = 8100;
+// as the platform's workers do
+constexpr Duration kReportInterval = std::chrono::milliseconds(1500);
+constexpr Duration kStartLimit = std::chrono::seconds(10);
+constexpr Duration kStartPoll = std::chrono::milliseconds(50);
+constexpr Duration kGrace = std::chrono::seconds(6);
+
+void Pause(TimerThread& timers, Instant until) {
+  std::promise<void> over;
+  timers.At(until, [&over] { over.set_value(); });
+  over.get_future().wait();
+}
+
+Json Route(const std::string& name) {
+  return {{"name", name},     {"hostname", "soak.example"}, {"prefix", "/" + name + "/"},
+          {"type", "unsafe"}, {"timeout_ms", 1500},         {"target_duration_ms", 60},
+          {"priority", 0},    {"backend", "workshop"},      {"max_attempts", 3},
+          {"stretch", 1.6}};
+}
+
+}  // namespace
+
+Fleet::Fleet(const FleetPlan& plan)
+    : m_plan(plan), m_timers(m_clock), m_weather(m_clock), m_store(m_clock, m_timers, plan.seed) {
+  m_store_server = std::make_unique<HttpServer>(At(kStore, kStorePort), 1, m_store);
+  for (std::uint32_t i = 0; i < plan.workers; ++i) AddWorker(i);
+  for (std::uint32_t i = 0; i < plan.nodes; ++i) AddNode(i);
+  std::vector<Address> fronts;
+  for (std::uint32_t i = 0; i < plan.nodes; ++i)
+    fronts.push_back(At(kFirstNode + i, plan.direct_callers ? kFrontPort : kFrontLinkPort));
+  m_callers = std::make_unique<Callers>(std::move(fronts), m_ledger, m_weather, m_clock, m_timers,
+                                        plan.seed);
+}
+
+Fleet::~Fleet() {
+  m_reporting = false;
+  m_nodes.clear();
+  m_timers.Stop();
+  m_store_server->Stop();
+  for (const auto& part : m_workers) part->server->Stop();
+}
+
+Address Fleet::At(std::uint32_t host, std::uint16_t port) const {
+  return {kLoopback + kSlotSize * m_plan.slot + host, port};
+}
+
+void Fleet::AddWorker(std::uint32_t index) {
+  auto part = std::make_unique<WorkerPart>();
+  const std::uint32_t host = kFirstWorker + index;
+  // clocks of workers may be 2 % slow
+  const double clock_rate = index % 2 == 0 ? 1.0 : 0.98;
+  const double speed = 0.7 + 0.3 * (index % 3);
+  part->worker =
+      std::make_unique<SoakWorker>("w-" + std::to_string(index + 1), 16000, speed, clock_rate,
+                                   m_ledger, m_weather, m_clock, m_timers, m_plan.seed + index);
+  part->server = std::make_unique<HttpServer>(At(host, kWorkerPort), 1, *part->worker);
+  part->listed_at = At(host, kWorkerLinkPort);
+  part->link = std::make_unique<FaultProxy>(part->listed_at, At(host, kWorkerPort));
+  m_workers.push_back(std::move(part));
+}
+
+void Fleet::AddNode(std::uint32_t index) {
+  auto part = std::make_unique<NodePart>();
+  const std::uint32_t host = kFirstNode + index;
+  const Address store = At(host, kStorePort);
+  part->store_link = std::make_unique<FaultProxy>(store, At(kStore, kStorePort));
+  part->front_link = std::make_unique<FaultProxy>(At(host, kFrontLinkPort), At(host, kFrontPort));
+  part->readiness = At(host, kReadyPort);
+  part->process =
+      std::make_unique<NodeProcess>(m_plan.program, WriteSettings(index, store),
+                                    m_plan.folder + "/node-" + std::to_string(index + 1) + ".log");
+  m_nodes.push_back(std::move(part));
+}
+
+std::string Fleet::WriteSettings(std::uint32_t index, const Address& store) const {
+  const std::string name = "node-" + std::to_string(index + 1);
+  const std::string path = m_plan.folder + "/" + name + ".conf";
+  const std::uint32_t host = kFirstNode + index;
+  std::ofstream(path) << "node_name=" << name << "\nip=" << At(host, 0).host()
+                      << "\nzone=celaya\nlisten_addresses.front=" << At(host, kFrontPort).text()
+                      << "\nlisten_addresses.ready=" << At(host, kReadyPort).text()
+                      << "\ninternal_port_range=7720,7735\nlimits.cpu_share=0.25\nlimits.cores=1\n"
+                      << "bounds.max_hold_ms=1000\nbounds.grace_period_s=6\n"
+                      << "bounds.remote_factor=2\nplatform.address=" << store.text() << "\n";
+  return path;
+}
+
+bool Fleet::Start() {
+  ChangeConfiguration();
+  if (m_store_server->Start()) return false;
+  for (const auto& part : m_workers) {
+    if (part->server->Start()) return false;
+  }
+  Report();
+  for (const auto& part : m_nodes) {
+    if (!part->process->Start()) return false;
+  }
+  HttpClient http(1);
+  const Instant limit = m_clock.Now() + kStartLimit;
+  for (const auto& part : m_nodes) {
+    constexpr int kOk = 200;
+    while (http.CallAndWait(HttpCall("GET", part->readiness, "/readiness", "", "", kStartPoll))
+               .status() != kOk) {
+      if (m_clock.Now() > limit) return false;
+      Pause(m_timers, m_clock.Now() + kStartPoll);
+    }
+  }
+  return true;
+}
+
+void Fleet::Stop() {
+  for (const auto& part : m_nodes) part->process->Signal(SIGTERM);
+  const Instant limit = m_clock.Now() + kGrace;
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    NodeProcess& process = *m_nodes[i]->process;
+    while (!process.HasEnded() && m_clock.Now() < limit) {
+      Pause(m_timers, m_clock.Now() + kStartPoll);
+    }
+    if (process.running()) {
+      m_ledger.Broken("stop: node " + std::to_string(i + 1) + " outlived its grace");
+    } else if (process.exit_code() != 0) {
+      m_ledger.Broken("stop: node " + std::to_string(i + 1) + " ended with " +
+                      std::to_string(process.exit_code()));
+    }
+  }
+}
+
+void Fleet::Report() {
+  if (!m_reporting) return;
+  for (std::size_t i = 0; i < m_workers.size(); ++i) {
+    WorkerPart& part = *m_workers[i];
+    if (part.listed) {
+      m_store.Put("servers/w-" + std::to_string(i + 1), part.worker->Entry(part.listed_at.text()));
+    }
+  }
+  m_timers.At(m_clock.Now() + kReportInterval, [this] { Report(); });
+}
+
+void Fleet::SetListed(std::size_t worker, bool listed) {
+  WorkerPart& part = *m_workers[worker];
+  part.listed = listed;
+  const std::string key = "servers/w-" + std::to_string(worker + 1);
+  if (listed) {
+    m_store.Put(key, part.worker->Entry(part.listed_at.text()));
+  } else {
+    m_store.Remove(key);
+  }
+}
+
+void Fleet::ChangeConfiguration() {
+  const std::uint64_t version = m_version++;
+  const std::string queue = "queue-" + std::to_string(version);
+  m_callers->SetNewest(queue);
+  m_store.Put("op/config", {{"version", version * 3},
+                            {"routes", {Route("jobs"), Route(queue)}},
+                            {"services", Json::array({{{"name", "workshop"}}})},
+                            {"limits", {{"max_body_bytes", 262144}}}});
+  const Instant acknowledged_at = m_clock.Now();
+  constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
+  constexpr int kProbes = 10;
+  for (int i = 1; i <= kProbes; ++i) {
+    m_timers.At(acknowledged_at + kProbeInterval * i, [this, version, queue, acknowledged_at] {
+      if (m_version == version + 1) m_callers->Probe(queue, acknowledged_at);
+    });
+  }
+}
+
+}  // namespace sapphireflow::soak
--- /dev/null
+++ b/tests/soak/fleet.h
@@ -0,0 +1,104 @@
+// A fleet on loopback: nodes as processes, stand-ins and proxies in this one.
+#ifndef SAPPHIREFLOW_TESTS_SOAK_FLEET_H_
+#define SAPPHIREFLOW_TESTS_SOAK_FLEET_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "callers.h"
+#include "fault_proxy.h"
+#include "ledger.h"
+#include "node_process.h"
+#include "sapphireflow/transport/http_server.h"
+#include "soak_store.h"
+#include "soak_worker.h"
+#include "weather.h"
+
+namespace sapphireflow::soak {
+
+/// @brief How large a fleet is, and where it lives.
+struct FleetPlan {
+  std::string program;
+  std::string folder;
+  // fleets of different slots share no address
+  std::uint32_t slot = 0;
+  std::uint32_t nodes = 4;
+  std::uint32_t workers = 6;
+  std::uint32_t seed = 1;
+  // callers reach the nodes without a proxy: a process that is gone refuses their connections
+  bool direct_callers = false;
+};
+
+/// @brief All parts of a run. The parts' own locks make it thread-safe but for `Restart` and the
+/// members of one node, which are used by the schedule's thread only.
+class Fleet {
+ public:
+  explicit Fleet(const FleetPlan& plan);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  /// @brief Starts all, and waits until all nodes say that they are ready. @return whether they do
+  bool Start();
+  /// @brief Ends the nodes as planned.
+  void Stop();
+
+  /// @brief Puts the next version in force: one queue more, the last one less.
+  void ChangeConfiguration();
+  /// @brief A worker's entry is not renewed, or is removed.
+  void SetListed(std::size_t worker, bool listed);
+
+  const Clock& clock() const { return m_clock; }
+  TimerThread& timers() { return m_timers; }
+  Weather& weather() { return m_weather; }
+  Ledger& ledger() { return m_ledger; }
+  Callers& callers() { return *m_callers; }
+  SoakStore& store() { return m_store; }
+  SoakWorker& worker(std::size_t index) { return *m_workers[index]->worker; }
+  FaultProxy& worker_link(std::size_t index) { return *m_workers[index]->link; }
+  NodeProcess& node(std::size_t index) { return *m_nodes[index]->process; }
+  FaultProxy& store_link(std::size_t index) { return *m_nodes[index]->store_link; }
+  FaultProxy& front_link(std::size_t index) { return *m_nodes[index]->front_link; }
+  std::size_t nodes() const { return m_nodes.size(); }
+  std::size_t workers() const { return m_workers.size(); }
+
+ private:
+  struct WorkerPart {
+    std::unique_ptr<SoakWorker> worker;
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<FaultProxy> link;
+    Address listed_at;
+    std::atomic<bool> listed{true};
+  };
+  struct NodePart {
+    std::unique_ptr<FaultProxy> store_link;
+    std::unique_ptr<FaultProxy> front_link;
+    std::unique_ptr<NodeProcess> process;
+    Address readiness;
+  };
+
+  Address At(std::uint32_t host, std::uint16_t port) const;
+  void AddWorker(std::uint32_t index);
+  void AddNode(std::uint32_t index);
+  std::string WriteSettings(std::uint32_t index, const Address& store) const;
+  void Report();
+
+  const FleetPlan m_plan;
+  const MonotonicClock m_clock;
+  TimerThread m_timers;
+  Weather m_weather;
+  Ledger m_ledger;
+  SoakStore m_store;
+  std::unique_ptr<HttpServer> m_store_server;
+  std::vector<std::unique_ptr<WorkerPart>> m_workers;
+  std::vector<std::unique_ptr<NodePart>> m_nodes;
+  std::unique_ptr<Callers> m_callers;
+  std::uint64_t m_version = 1;
+  std::atomic<bool> m_reporting{true};
+};
+
+}  // namespace sapphireflow::soak
+
+#endif  // SAPPHIREFLOW_TESTS_SOAK_FLEET_H_
--- /dev/null
+++ b/tests/soak/soak_main.cc
@@ -0,0 +1,123 @@
+// The fault soak: dispatch nodes as processes of their own, faults from outside, promises checked
+// from what callers and workers see. Exit code 1 if a promise was broken.
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <filesystem>
+#include <future>
+#include <iostream>
+
+#include "schedule.h"
+
+namespace {
+
+using sapphireflow::Duration;
+using sapphireflow::Instant;
+using sapphireflow::soak::Fleet;
+using sapphireflow::soak::FleetPlan;
+using sapphireflow::soak::Schedule;
+using sapphireflow::soak::Step;
+
+constexpr Duration kWarmUp = std::chrono::milliseconds(1500);
+constexpr Duration kFaultTime = std::chrono::milliseconds(7000);
+// machines are in touch again three seconds after the last fault
+constexpr Duration kInTouch = std::chrono::milliseconds(3000);
+constexpr Duration kCalmTime = std::chrono::milliseconds(2500);
+constexpr Duration kArrival = std::chrono::milliseconds(25);
+// every accepted request is to be answered in time; a thousandth is left to chance
+constexpr double kUnservedInCalm = 0.001;
+
+void Until(Fleet& fleet, Instant at) {
+  std::promise<void> over;
+  fleet.timers().At(at, [&over] { over.set_value(); });
+  over.get_future().wait();
+}
+
+void Arrive(Fleet& fleet, Instant until) {
+  if (fleet.clock().Now() >= until) return;
+  fleet.callers().SubmitOne();
+  fleet.timers().At(fleet.clock().Now() + kArrival, [&fleet, until] { Arrive(fleet, until); });
+}
+
+bool RunSeed(FleetPlan plan, bool show) {
+  std::filesystem::remove_all(plan.folder);
+  std::filesystem::create_directories(plan.folder);
+  const Schedule schedule(plan.seed, plan.nodes, plan.workers, kFaultTime);
+  plan.direct_callers = schedule.only_planned();
+  Fleet fleet(plan);
+  if (!fleet.Start()) {
+    std::cout << "FAIL seed " << plan.seed << ": the fleet did not become ready\n";
+    return false;
+  }
+  const Instant begin = fleet.clock().Now() + kWarmUp;
+  Duration last = kFaultTime;
+  for (const Step& step : schedule.steps()) last = std::max(last, step.at);
+  const Instant end = begin + last + kInTouch + kCalmTime;
+  Arrive(fleet, end);
+  fleet.callers().SetOnlyPlanned(schedule.only_planned());
+  for (const Step& step : schedule.steps()) {
+    Until(fleet, begin + step.at);
+    if (show) std::cout << sapphireflow::ToMillis(step.at) << " " << step.text << "\n";
+    step.action(fleet);
+    for (std::size_t i = 0; i < fleet.nodes(); ++i) {
+      const bool expected = step.text.find("node " + std::to_string(i + 1)) != std::string::npos;
+      if (!expected && fleet.node(i).running() && fleet.node(i).HasEnded() &&
+          fleet.node(i).exit_code() != 0 && fleet.node(i).exit_code() != -SIGKILL) {
+        fleet.ledger().Broken("exit: node " + std::to_string(i + 1) + " ended by itself with " +
+                              std::to_string(fleet.node(i).exit_code()));
+      }
+    }
+  }
+  Until(fleet, end);
+  fleet.callers().WaitForAll();
+  fleet.Stop();
+  fleet.ledger().Finish();
+  const auto owed = fleet.ledger().OwedSince(begin + last + kInTouch);
+  if (owed.not_served.size() > kUnservedInCalm * owed.jobs) {
+    for (const std::string& job : owed.not_served) {
+      fleet.ledger().Broken("calm: " + job + " was not served");
+    }
+  }
+  const auto tally = fleet.ledger().tally();
+  const auto violations = fleet.ledger().violations();
+  std::cout << (violations.empty() ? "ok   " : "FAIL ") << "seed " << plan.seed << ": served "
+            << tally.served << ", failed " << tally.failed << ", refused " << tally.refused
+            << ", unanswered " << tally.unanswered << ", starts " << tally.starts << ", in calm "
+            << owed.jobs - owed.not_served.size() << " of " << owed.jobs << "\n";
+  for (const std::string& violation : violations) std::cout << "  " << violation << "\n";
+  std::cout.flush();
+  return violations.empty();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine command("Soaks dispatch nodes in faults.", ' ', "test");
+  TCLAP::ValueArg<std::string> program("p", "program", "the node's program", true, "", "path",
+                                       command);
+  TCLAP::ValueArg<std::string> folder("f", "folder", "for settings and logs; a folder a seed", true,
+                                      "", "path", command);
+  TCLAP::ValueArg<std::uint32_t> seed("s", "seed", "first seed", false, 1, "seed", command);
+  TCLAP::ValueArg<std::uint32_t> count("r", "runs", "how many seeds", false, 1, "count", command);
+  TCLAP::ValueArg<std::uint32_t> slot("", "slot", "addresses 127.10.SLOT.0/24", false, 0, "slot",
+                                      command);
+  TCLAP::ValueArg<std::uint32_t> nodes("n", "nodes", "how many nodes", false, 4, "count", command);
+  TCLAP::ValueArg<std::uint32_t> workers("w", "workers", "how many workers", false, 6, "count",
+                                         command);
+  TCLAP::SwitchArg show("v", "show", "print the faults", command);
+  command.parse(argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::uint32_t failed = 0;
+  for (std::uint32_t i = 0; i < count.getValue(); ++i) {
+    FleetPlan plan;
+    plan.program = program.getValue();
+    plan.seed = seed.getValue() + i;
+    plan.folder = folder.getValue() + "/seed-" + std::to_string(plan.seed);
+    plan.slot = slot.getValue();
+    plan.nodes = nodes.getValue();
+    plan.workers = workers.getValue();
+    if (!RunSeed(plan, show.getValue())) ++failed;
+  }
+  std::cout << count.getValue() - failed << " passed, " << failed << " failed\n";
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak_store.h
@@ -0,0 +1,102 @@
+// The platform's store as its protocol says, with fault switches for each of its callers.
+#ifndef SAPPHIREFLOW_TESTS_SOAK_SOAK_STORE_H_
+#define SAPPHIREFLOW_TESTS_SOAK_SOAK_STORE_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sapphireflow/transport/clock.h"
+#include "sapphireflow/transport/http.h"
+#include "sapphireflow/transport/timer_thread.h"
+
+namespace sapphireflow::soak {
+
+/// @brief What is wrong with the store.
+struct StoreFaults {
+  // every call is answered 503
+  bool down = false;
+  // an answer takes so long
+  Duration slow = std::chrono::milliseconds(4);
+  // share of answers that are lost, after the call was carried out
+  double lost = 0;
+};
+
+/// @brief Keys with revisions, leases and watches. Thread-safe.
+class SoakStore : public HttpHandler {
+ public:
+  /// References outlive the store.
+  SoakStore(const Clock& clock, TimerThread& timers, std::uint32_t seed);
+
+  void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) override;
+  void SetFaults(const StoreFaults& faults);
+  /// @brief What the platform writes itself.
+  void Put(const std::string& key, const nlohmann::json& value);
+  void Remove(const std::string& key);
+  /// @brief Watches from before now are told that their history is gone.
+  void ForgetHistory();
+
+ private:
+  using Json = nlohmann::json;
+  using ResponderPtr = std::shared_ptr<HttpResponder>;
+  struct Item {
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t created = 0;
+    std::uint64_t lease = 0;
+  };
+  struct Event {
+    std::uint64_t revision;
+    std::string key;
+    // not set: removed
+    std::optional<Item> item;
+  };
+  struct Watch {
+    std::string prefix;
+    std::uint64_t after = 0;
+    ResponderPtr responder;
+    std::uint64_t serial = 0;
+  };
+  struct Reply {
+    int status;
+    Json body;
+  };
+
+  std::optional<Reply> Serve(const HttpRequest& request, const ResponderPtr& responder);
+  Reply Range(const std::string& prefix, const std::string& after) const;
+  Reply Transaction(const Json& body);
+  std::optional<Reply> StartWatch(const HttpRequest& request, const ResponderPtr& responder);
+  Reply EventsSince(const std::string& prefix, std::uint64_t after) const;
+  void Write(const std::string& key, const std::string& value, std::uint64_t lease);
+  void Erase(const std::string& key);
+  void AnswerWatches();
+  void ExpireLease(std::uint64_t lease);
+  void Send(const ResponderPtr& responder, const Reply& reply);
+  static Json ItemJson(const std::string& key, const Item& item);
+
+  const Clock& m_clock;
+  TimerThread& m_timers;
+  std::mutex m_mutex;
+  // all below guarded by m_mutex
+  std::mt19937 m_random;
+  StoreFaults m_faults;
+  std::uint64_t m_revision = 1;
+  std::uint64_t m_forgotten = 0;
+  std::uint64_t m_serial = 0;
+  std::map<std::string, Item> m_items;
+  std::vector<Event> m_history;
+  std::vector<Watch> m_watches;
+  // when each lease ends
+  std::map<std::uint64_t, Instant> m_leases;
+  std::map<std::uint64_t, Duration> m_lifetimes;
+  std::vector<ResponderPtr> m_lost;
+};
+
+}  // namespace sapphireflow::soak
+
+#endif  // SAPPHIREFLOW_TESTS_SOAK_SOAK_STORE_H_
--- /dev/null
+++ b/tests/soak/soak_worker.cc
@@ -0,0 +1,258 @@
+// Runs as timers, leases on a clock of the worker's own.
+#include "soak_worker.h"
+
+#include <algorithm>
+
+namespace sapphireflow::soak {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kMisdirected = 421;
+// the platform's bounds
+constexpr std::int64_t kMaxHoldMs = 1000;
+// of a worker's clock at its start
+constexpr std::int64_t kFirstReading = 400000;
+constexpr Duration kLeaseCheck = std::chrono::milliseconds(20);
+constexpr Duration kStopTime = std::chrono::milliseconds(20);
+constexpr int kLatestOrderMs = 2500;
+constexpr Duration kDrainTime = std::chrono::milliseconds(2000);
+constexpr Duration kInTouch = std::chrono::milliseconds(3000);
+
+}  // namespace
+
+SoakWorker::SoakWorker(std::string id, std::int64_t milli_cores, double speed, double clock_rate,
+                       Ledger& ledger, const Weather& weather, const Clock& clock,
+                       TimerThread& timers, std::uint32_t seed)
+    : m_id(std::move(id)),
+      m_milli_cores(milli_cores),
+      m_speed(speed),
+      m_clock_rate(clock_rate),
+      m_ledger(ledger),
+      m_weather(weather),
+      m_clock(clock),
+      m_timers(timers),
+      m_random(seed) {
+  Restart();
+}
+
+std::int64_t SoakWorker::ClockMs() const {
+  return kFirstReading + static_cast<std::int64_t>(ToMillis(m_clock.Now() - m_born) * m_clock_rate);
+}
+
+bool SoakWorker::Chance(double share) {
+  return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
+void SoakWorker::SetFaults(const WorkerFaults& faults) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_faults = faults;
+  if (faults.mute > 0) return;
+  for (const ResponderPtr& responder : m_lost) responder->Abort();
+  m_lost.clear();
+}
+
+void SoakWorker::Restart() {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_ledger.WorkerDied(m_id);
+  m_born = m_clock.Now();
+  ++m_life;
+  m_highest_token = 0;
+  m_expires_ms = 0;
+  m_running.clear();
+  m_over.clear();
+  m_ended.clear();
+  m_next_end = 1;
+  m_sequence = 0;
+  m_draining = false;
+  for (const Waiting& waiting : m_waiting) waiting.responder->Abort();
+  m_waiting.clear();
+  m_timers.At(m_clock.Now() + kLeaseCheck, [this, life = m_life] { CheckLease(life); });
+}
+
+void SoakWorker::SetDraining(bool draining) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  if (draining && !m_draining) m_draining_since = m_clock.Now();
+  m_draining = draining;
+}
+
+nlohmann::json SoakWorker::Entry(const std::string& address) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return {{"backend", "workshop"},
+          {"address", address},
+          {"zone", "celaya"},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", m_draining ? "draining" : "ready"},
+          {"cold_remaining_ms", 0},
+          {"capacity", {{"cpu", m_milli_cores}, {"mem_mb", 32768}, {"gpu", 0}}},
+          {"labels", {"a", "r1-1"}},
+          {"clock_ms", ClockMs()},
+          {"sequence", ++m_sequence},
+          {"born", ToUnixMillis(m_born)}};
+}
+
+void SoakWorker::Answer(const ResponderPtr& responder, int status, Json body) {
+  if (Chance(m_faults.mute)) {
+    m_lost.push_back(responder);
+    return;
+  }
+  body["clock_ms"] = ClockMs();
+  body["born"] = ToUnixMillis(m_born);
+  responder->Respond(HttpResponse(status, body.dump()));
+}
+
+void SoakWorker::Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
+  const Json body = Json::parse(request.body(), nullptr, false);
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const std::string instance = request.Header("Sapphireflow-Expected-Instance");
+  if (!instance.empty() && instance != m_id) return Answer(responder, kMisdirected, Json::object());
+  if (request.path() == "/run-start") return Start(body, responder);
+  if (request.path() == "/run-stop") return Stop(body, responder);
+  if (request.path() == "/hold") return Hold(body, responder);
+  Answer(responder, 404, Json::object());
+}
+
+bool SoakWorker::FencedLocked(const Json& body) {
+  const auto token = body.value("fencing_token", std::uint64_t{0});
+  if (token < m_highest_token) return true;
+  m_highest_token = token;
+  return false;
+}
+
+void SoakWorker::ProlongLocked(std::int64_t expires_ms) {
+  m_expires_ms = std::max(m_expires_ms, std::min(expires_ms, ClockMs() + kMaxHoldMs));
+  const auto clock_ms = static_cast<double>(m_expires_ms - kFirstReading);
+  m_ledger.LeaseEnds(m_id, m_born + FromMillis(clock_ms / m_clock_rate));
+}
+
+void SoakWorker::Start(const Json& body, const ResponderPtr& responder) {
+  if (Chance(m_faults.late_orders)) {
+    m_lost.push_back(responder);
+    const auto late =
+        std::chrono::milliseconds(std::uniform_int_distribution<int>(0, kLatestOrderMs)(m_random));
+    m_timers.At(m_clock.Now() + late, [this, body] {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      int ignored = 0;
+      StartLocked(body, &ignored);
+    });
+    return;
+  }
+  int status = kOk;
+  Json answer = StartLocked(body, &status);
+  Answer(responder, status, std::move(answer));
+}
+
+nlohmann::json SoakWorker::StartLocked(const Json& body, int* status) {
+  const auto task = body.at("task").get<std::string>();
+  const auto number = body.at("run").get<std::uint32_t>();
+  const auto expires_ms = body.at("expires_ms").get<std::int64_t>();
+  *status = kConflict;
+  if (FencedLocked(body)) return {{"reason", "fence"}};
+  const auto running = m_running.find(task);
+  const auto over = m_over.find(task);
+  if (over != m_over.end() && number <= over->second) {
+    ProlongLocked(expires_ms);
+    return {{"reason", "old"}};
+  }
+  if (running != m_running.end() && running->second.number == number) {
+    *status = kOk;
+    return Json::object();
+  }
+  if (expires_ms <= ClockMs()) return {{"reason", "late"}};
+  *status = kOk;
+  ProlongLocked(expires_ms);
+  m_ledger.Started(m_id, m_milli_cores, task, body.at("spec").get<std::string>(), m_clock.Now());
+  if (m_draining && m_clock.Now() - m_draining_since > kDrainTime && m_weather.CalmFor(kInTouch)) {
+    m_ledger.Broken("drain: " + task + " was started on " + m_id + ", which leaves");
+  }
+  const JobPlan* plan = m_ledger.Find(task.substr(0, task.find('.')));
+  const bool fails = plan == nullptr || plan->poison || Chance(m_faults.failing);
+  const Duration length = fails ? Duration(std::chrono::milliseconds(2))
+                                : FromMillis(ToMillis(plan->run) * m_speed * m_faults.slow);
+  const std::uint64_t serial = ++m_serial;
+  m_running[task] = Run{number, serial};
+  m_timers.At(m_clock.Now() + length, [this, task, serial, fails] {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_running.find(task);
+    if (found == m_running.end() || found->second.serial != serial) return;
+    EndLocked(task, fails ? "failed" : "done");
+  });
+  return Json::object();
+}
+
+void SoakWorker::EndLocked(const std::string& task, const char* how) {
+  const auto found = m_running.find(task);
+  const std::uint32_t number = found->second.number;
+  m_running.erase(found);
+  m_over[task] = std::max(m_over[task], number);
+  m_ledger.Ended(m_id, task, std::string(how) == "done");
+  m_ended.push_back({m_next_end++, task, number, how, ""});
+  AnswerWaitingLocked();
+}
+
+void SoakWorker::Stop(const Json& body, const ResponderPtr& responder) {
+  if (FencedLocked(body)) return Answer(responder, kConflict, {{"reason", "fence"}});
+  const auto task = body.at("task").get<std::string>();
+  const auto number = body.at("run").get<std::uint32_t>();
+  const auto running = m_running.find(task);
+  if (running == m_running.end() || running->second.number > number) {
+    m_over[task] = std::max(m_over[task], number);
+  } else {
+    const std::uint64_t serial = running->second.serial;
+    m_timers.At(m_clock.Now() + kStopTime, [this, task, serial] {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      const auto found = m_running.find(task);
+      if (found != m_running.end() && found->second.serial == serial) EndLocked(task, "stopped");
+    });
+  }
+  Answer(responder, kOk, Json::object());
+}
+
+void SoakWorker::Hold(const Json& body, const ResponderPtr& responder) {
+  if (FencedLocked(body)) return Answer(responder, kConflict, {{"reason", "fence"}});
+  const auto acknowledged = body.value("ack_cursor", std::uint64_t{0});
+  m_ended.erase(std::remove_if(m_ended.begin(), m_ended.end(),
+                               [&](const Json& row) {
+                                 return row.at(0).get<std::uint64_t>() <= acknowledged;
+                               }),
+                m_ended.end());
+  if (body.contains("expires_ms")) ProlongLocked(body.at("expires_ms").get<std::int64_t>());
+  const auto wait_ms = body.value("wait_ms", 0);
+  if (wait_ms == 0 || !m_ended.empty()) return Answer(responder, kOk, ListsLocked());
+  const std::uint64_t serial = ++m_serial;
+  m_waiting.push_back(Waiting{responder, serial});
+  m_timers.At(m_clock.Now() + std::chrono::milliseconds(wait_ms), [this, serial] {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found =
+        std::find_if(m_waiting.begin(), m_waiting.end(),
+                     [serial](const Waiting& waiting) { return waiting.serial == serial; });
+    if (found == m_waiting.end()) return;
+    const ResponderPtr due = found->responder;
+    m_waiting.erase(found);
+    Answer(due, kOk, ListsLocked());
+  });
+}
+
+void SoakWorker::AnswerWaitingLocked() {
+  std::vector<Waiting> waiting;
+  waiting.swap(m_waiting);
+  for (const Waiting& one : waiting) Answer(one.responder, kOk, ListsLocked());
+}
+
+nlohmann::json SoakWorker::ListsLocked() const {
+  Json running = Json::array();
+  for (const auto& [task, run] : m_running) running.push_back({task, run.number, "", 100});
+  return {{"running", std::move(running)}, {"ended", m_ended}};
+}
+
+void SoakWorker::CheckLease(std::uint64_t life) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  if (life != m_life) return;
+  if (ClockMs() >= m_expires_ms) {
+    while (!m_running.empty()) EndLocked(m_running.begin()->first, "lapsed");
+  }
+  m_timers.At(m_clock.Now() + kLeaseCheck, [this, life] { CheckLease(life); });
+}
+
+}  // namespace sapphireflow::soak
--- /dev/null
+++ b/tests/soak/soak_worker.h
@@ -0,0 +1,110 @@
+// A worker that speaks the users' platform's protocol, with fault switches.
+#ifndef SAPPHIREFLOW_TESTS_SOAK_SOAK_WORKER_H_
+#define SAPPHIREFLOW_TESTS_SOAK_SOAK_WORKER_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ledger.h"
+#include "sapphireflow/transport/clock.h"
+#include "sapphireflow/transport/http.h"
+#include "sapphireflow/transport/timer_thread.h"
+#include "weather.h"
+
+namespace sapphireflow::soak {
+
+/// @brief What is wrong with a worker.
+struct WorkerFaults {
+  // runs take so many times as long
+  double slow = 1;
+  // share of runs that fail at once
+  double failing = 0;
+  // share of start orders that get no answer and are carried out late or never
+  double late_orders = 0;
+  // share of all answers that are lost
+  double mute = 0;
+};
+
+/// @brief Starts whatever it is told by the holder of the highest fencing token. Thread-safe.
+class SoakWorker : public HttpHandler {
+ public:
+  /// References outlive the worker.
+  /// @param clock_rate of its own clock against the true one, e.g. 0.98
+  SoakWorker(std::string id, std::int64_t milli_cores, double speed, double clock_rate,
+             Ledger& ledger, const Weather& weather, const Clock& clock, TimerThread& timers,
+             std::uint32_t seed);
+
+  void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) override;
+  void SetFaults(const WorkerFaults& faults);
+  /// @brief Ends the life of the worker: nothing runs, tokens and ends are forgotten.
+  void Restart();
+  void SetDraining(bool draining);
+  /// @brief The worker's entry in the store.
+  nlohmann::json Entry(const std::string& address);
+
+ private:
+  using Json = nlohmann::json;
+  using ResponderPtr = std::shared_ptr<HttpResponder>;
+  struct Run {
+    std::uint32_t number = 0;
+    std::uint64_t serial = 0;
+  };
+  struct Waiting {
+    ResponderPtr responder;
+    std::uint64_t serial = 0;
+  };
+
+  void Start(const Json& body, const ResponderPtr& responder);
+  Json StartLocked(const Json& body, int* status);
+  void Stop(const Json& body, const ResponderPtr& responder);
+  void Hold(const Json& body, const ResponderPtr& responder);
+  bool FencedLocked(const Json& body);
+  void ProlongLocked(std::int64_t expires_ms);
+  void EndLocked(const std::string& task, const char* how);
+  void CheckLease(std::uint64_t life);
+  void AnswerWaitingLocked();
+  Json ListsLocked() const;
+  void Answer(const ResponderPtr& responder, int status, Json body);
+  std::int64_t ClockMs() const;
+  bool Chance(double share);
+
+  const std::string m_id;
+  const std::int64_t m_milli_cores;
+  const double m_speed;
+  const double m_clock_rate;
+  Ledger& m_ledger;
+  const Weather& m_weather;
+  const Clock& m_clock;
+  TimerThread& m_timers;
+
+  std::mutex m_mutex;
+  // all below guarded by m_mutex
+  std::mt19937 m_random;
+  WorkerFaults m_faults;
+  bool m_draining = false;
+  Instant m_draining_since{};
+  Instant m_born{};
+  std::uint64_t m_life = 0;
+  std::uint64_t m_serial = 0;
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_highest_token = 0;
+  std::int64_t m_expires_ms = 0;
+  std::map<std::string, Run> m_running;
+  // highest run that ended or was stopped, by task
+  std::map<std::string, std::uint32_t> m_over;
+  std::vector<Json> m_ended;
+  std::uint64_t m_next_end = 1;
+  std::vector<Waiting> m_waiting;
+  // answers that were lost: kept so that their connections stay open
+  std::vector<ResponderPtr> m_lost;
+};
+
+}  // namespace sapphireflow::soak
+
+#endif  // SAPPHIREFLOW_TESTS_SOAK_SOAK_WORKER_H_
--- /dev/null
+++ b/tests/soak/weather.h
@@ -0,0 +1,44 @@
+// Which faults are on, so that promises with a time bound are checked when it is calm.
+#ifndef SAPPHIREFLOW_TESTS_SOAK_WEATHER_H_
+#define SAPPHIREFLOW_TESTS_SOAK_WEATHER_H_
+
+#include <mutex>
+
+#include "sapphireflow/transport/clock.h"
+
+namespace sapphireflow::soak {
+
+/// @brief Counts the faults that are on. Thread-safe.
+class Weather {
+ public:
+  /// @param clock outlives the weather
+  explicit Weather(const Clock& clock) : m_clock(clock) {}
+  void Begin() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_faults;
+  }
+  void End() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    --m_faults;
+    m_last_end = m_clock.Now();
+  }
+  bool CalmFor(Duration length) const {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_faults == 0 && m_clock.Now() - m_last_end >= length;
+  }
+  Instant last_end() const {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_last_end;
+  }
+
+ private:
+  const Clock& m_clock;
+  mutable std::mutex m_mutex;
+  // guarded by m_mutex
+  int m_faults = 0;
+  Instant m_last_end{};
+};
+
+}  // namespace sapphireflow::soak
+
+#endif  // SAPPHIREFLOW_TESTS_SOAK_WEATHER_H_
