Go on at once with a job that was being refused when one of its runs has ended

Cause: read in the code: an end during a refusal left the job refusing but not refusable, until its caller's time had passed; neither run again nor answered.

--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -93,6 +93,8 @@
   void TakeReport(const NodeId& owner, const RunReport& report, Instant now, JobEffects& out);
   void OnEnded(Job& job, Task& task, const RunReport& report, Instant now, JobEffects& out);
   void OnDeclined(Job& job, Task& task, const RunReport& report, Instant now, JobEffects& out);
+  // after an end: places what is ready, or decides the refusal that is under way
+  void GoOn(Job& job, Instant now, JobEffects& out);
   void CareForOrphans(Job& job, Instant now, JobEffects& out);
   void Close(Job& job, WorkVerdict verdict, std::optional<Error> cause, Instant now,
              JobEffects& out);
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -266,7 +266,7 @@
     if (all_done && !job.closing) {
       Close(job, WorkVerdict::kCompleted, std::nullopt, now, out);
     } else {
-      PlaceReady(job, now, out);
+      GoOn(job, now, out);
     }
     return;
   }
@@ -299,7 +299,15 @@
           now, out);
     return;
   }
-  PlaceReady(job, now, out);
+  GoOn(job, now, out);
+}
+
+void JobShard::GoOn(Job& job, Instant now, JobEffects& out) {
+  if (job.refusing) {
+    FinishRefusal(job, now, out);
+  } else {
+    PlaceReady(job, now, out);
+  }
 }
 
 void JobShard::OnDeclined(Job& job, Task& task, const RunReport& report, Instant now,
--- a/tests/unit/unit-job_shard.cpp
+++ b/tests/unit/unit-job_shard.cpp
@@ -347,3 +347,18 @@
   CHECK(node.answers.empty());
   CHECK(node.Placed().size() == 3);
 }
+
+TEST_CASE("a job that is being refused goes on at once when one of its runs has ended") {
+  Coordinator node;
+  node.Submit({Step(2)});
+  node.now += Millis(700);
+  node.Feed(JobTick());
+  REQUIRE(node.Count<CancelRuns>() == 1);
+  node.Report(0, 0, 1, RunNews::kEnded, RunEnd::kStopped);
+  CHECK(node.answers.empty());
+  // placed again beside the run whose cancel is under way
+  CHECK(node.Placed().size() == 3);
+  node.Report(0, 1, 1, RunNews::kDeclined);
+  CHECK(node.answers.empty());
+  CHECK(node.Placed().size() == 4);
+}
