--- a/daemons/bench_main.cc
+++ b/daemons/bench_main.cc
@@ -5,12 +5,12 @@
 
 #include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "sapphireflow/experiment/capacity_bench.h"
 #include "sapphireflow/experiment/decision_bench.h"
 #include "sapphireflow/experiment/load_driver.h"
 #include "sapphireflow/experiment/report.h"
+#include "sapphireflow/settings/read_file.h"
 
 namespace {
 
@@ -58,14 +58,12 @@
 }
 
 int RunExperiment(const RunOptions& options) {
-  std::ifstream input(options.file);
-  if (!input) {
+  const auto text = sapphireflow::ReadFile(options.file);
+  if (!text) {
     std::cerr << options.file << ": cannot be read\n";
     return kWrongUsage;
   }
-  std::ostringstream text;
-  text << input.rdbuf();
-  const auto read = sapphireflow::ReadExperiment(text.str(), options.file);
+  const auto read = sapphireflow::ReadExperiment(*text, options.file);
   if (const auto* findings = std::get_if<sapphireflow::Findings>(&read)) {
     for (const auto& finding : *findings) std::cerr << finding.text() << "\n";
     return kWrongUsage;
--- a/daemons/ctl_main.cc
+++ b/daemons/ctl_main.cc
@@ -4,7 +4,6 @@
 // known, ask again; 4 no entry VM was reached.
 #include <tclap/CmdLine.h>
 
-#include <fstream>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -13,6 +12,7 @@
 
 #include "sapphireflow/codec/csv.h"
 #include "sapphireflow/codec/http_bodies.h"
+#include "sapphireflow/settings/read_file.h"
 #include "sapphireflow/settings/table_sheet.h"
 #include "sapphireflow/transport/http_client.h"
 
@@ -36,14 +36,6 @@
     "commands: ids [COUNT] | submit FILE [ID] | job start FILE | job stop ID | job show ID | "
     "explain ID | table show | table check FILE | table edit FILE | audit | status | metrics";
 
-std::optional<std::string> ReadFile(const std::string& name) {
-  std::ifstream input(name);
-  if (!input) return std::nullopt;
-  std::ostringstream text;
-  text << input.rdbuf();
-  return text.str();
-}
-
 std::string NewEditId() {
   std::random_device chance;
   std::ostringstream text;
@@ -121,7 +113,7 @@
   }
 
   int Submit(const std::string& file, std::string id) {
-    const auto body = ReadFile(file);
+    const auto body = sapphireflow::ReadFile(file);
     if (!body) {
       std::cerr << file << ": cannot be read\n";
       return kWrongUsage;
@@ -167,7 +159,7 @@
   }
 
   static int CheckTable(const std::string& file) {
-    const auto text = ReadFile(file);
+    const auto text = sapphireflow::ReadFile(file);
     if (!text) {
       std::cerr << file << ": cannot be read\n";
       return kWrongUsage;
@@ -199,8 +191,8 @@
     const std::string edit_id = m_edit_id.empty() ? NewEditId() : m_edit_id;
     std::cout << "edit_id " << edit_id << " base_version " << base << "\n";
     return Print(Call("PUT", "/v1/table",
-                      sapphireflow::EncodeEditRequest(
-                          sapphireflow::EditRequest(edit_id, m_who, base, *ReadFile(file)))));
+                      sapphireflow::EncodeEditRequest(sapphireflow::EditRequest(
+                          edit_id, m_who, base, *sapphireflow::ReadFile(file)))));
   }
 
   const Address m_entry;
@@ -236,7 +228,7 @@
     }
     std::string key;
     if (!key_file.getValue().empty()) {
-      const auto text = ReadFile(key_file.getValue());
+      const auto text = sapphireflow::ReadFile(key_file.getValue());
       if (!text) {
         std::cerr << key_file.getValue() << ": cannot be read\n";
         return kWrongUsage;
--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -5,15 +5,14 @@
 #include <tclap/CmdLine.h>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <optional>
-#include <sstream>
 
 #include "job_front.h"
 #include "kv_store.h"
 #include "platform_settings.h"
+#include "sapphireflow/settings/read_file.h"
 #include "sapphireflow/transport/bounded_log.h"
 #include "sapphireflow/transport/dispatch_service.h"
 #include "sapphireflow/transport/http_client.h"
@@ -33,11 +32,9 @@
 const sapphireflow::LogLimits kLogLimits(250, 4000);
 
 sapphireflow::Checked<PlatformSettings> Load(const std::string& file) {
-  std::ifstream input(file);
-  if (!input) return sapphireflow::Findings{{file, "cannot be read"}};
-  std::ostringstream text;
-  text << input.rdbuf();
-  return sapphireflow::platform::ReadPlatformSettings(text.str(), file);
+  const auto text = sapphireflow::ReadFile(file);
+  if (!text) return sapphireflow::Findings{{file, "cannot be read"}};
+  return sapphireflow::platform::ReadPlatformSettings(*text, file);
 }
 
 // waits until the process is asked to stop; a changed settings file is only checked, since all
--- a/daemons/entry_main.cc
+++ b/daemons/entry_main.cc
@@ -4,12 +4,11 @@
 #include <tclap/CmdLine.h>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <memory>
-#include <sstream>
 
 #include "sapphireflow/settings/entry_settings.h"
+#include "sapphireflow/settings/read_file.h"
 #include "sapphireflow/transport/bounded_log.h"
 #include "sapphireflow/transport/entry_service.h"
 #include "sapphireflow/transport/log4cplus_sink.h"
@@ -59,14 +58,12 @@
                                       command);
     TCLAP::SwitchArg check("c", "check", "check the settings and exit", command);
     command.parse(argc, argv);
-    std::ifstream input(file.getValue());
-    if (!input) {
+    const auto text = sapphireflow::ReadFile(file.getValue());
+    if (!text) {
       std::cerr << file.getValue() << ": cannot be read\n";
       return kWrongUsage;
     }
-    std::ostringstream text;
-    text << input.rdbuf();
-    const auto settings = sapphireflow::ReadEntrySettings(text.str(), file.getValue());
+    const auto settings = sapphireflow::ReadEntrySettings(*text, file.getValue());
     if (const auto* findings = std::get_if<sapphireflow::Findings>(&settings)) {
       for (const auto& finding : *findings) std::cerr << finding.text() << "\n";
       return kWrongUsage;
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -81,6 +81,8 @@
   void DeclineOverdue(Instant now);
   void StartWaiting(Instant now, OwnerEffects& out);
   bool TryStart(const WaitingRun& waiting, Instant now, OwnerEffects& out);
+  // how many runs the worker may hold, from how its runs have ended
+  std::uint32_t AllowedRuns(const Session& session, Instant now) const;
   bool MayTake(const Owned& owned, const WaitingRun& waiting, Instant now) const;
   void Upkeep(Instant now, OwnerEffects& out);
   void Decline(const WaitingRun& waiting, const std::string& reason);
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -62,11 +62,6 @@
   return out;
 }
 
-std::vector<RoomDigest> OwnerShard::Digests() const {
-  std::lock_guard<std::mutex> lock(m_mutex);
-  return DigestsLocked({});
-}
-
 void OwnerShard::On(const OwnWorkers& event, Instant now, OwnerEffects& out) {
   std::map<WorkerId, const WorkerListing*> wanted;
   for (const WorkerListing& listing : event.workers()) wanted[listing.id()] = &listing;
@@ -327,8 +322,11 @@
       session.CountOfStep(order.run().task()) >= order.per_worker_limit()) {
     return false;
   }
-  const OutlierDetector& outliers = m_policies.outliers();
-  return session.runs() < outliers.Allowance(session.listing().address(), kUnlimitedSlots, now);
+  return session.runs() < AllowedRuns(session, now);
+}
+
+std::uint32_t OwnerShard::AllowedRuns(const Session& session, Instant now) const {
+  return m_policies.outliers().Allowance(session.listing().address(), kUnlimitedSlots, now);
 }
 
 bool OwnerShard::TryStart(const WaitingRun& waiting, Instant now, OwnerEffects& out) {
@@ -359,76 +357,4 @@
 
 bool OwnerShard::Hasty(Instant now) const { return now - m_answer_lost_at < kHastyTime; }
 
-void OwnerShard::Decline(const WaitingRun& waiting, const std::string& reason) {
-  m_reports[waiting.coordinator()].emplace_back(waiting.order().run(), RunNews::kDeclined,
-                                                RunEnd::kAbsent, "", reason);
-}
-
-void OwnerShard::DeclineAll(const std::string& reason) {
-  for (const WaitingRun& waiting : m_waiting) Decline(waiting, reason);
-  m_waiting.clear();
-}
-
-void OwnerShard::FlushReports(bool all, OwnerEffects& out) {
-  for (auto item = m_reports.begin(); item != m_reports.end();) {
-    auto& [coordinator, reports] = *item;
-    const bool only_starts =
-        std::all_of(reports.begin(), reports.end(),
-                    [](const RunReport& report) { return report.news() == RunNews::kStarted; });
-    if (only_starts && !all) {
-      ++item;
-      continue;
-    }
-    RoomUpdate rooms = RoomsFor(reports);
-    out.emplace_back(ReportRuns(coordinator, std::move(reports), std::move(rooms)));
-    item = m_reports.erase(item);
-  }
-}
-
-RoomUpdate OwnerShard::RoomsFor(const std::vector<RunReport>& reports) const {
-  std::set<WorkerId> named;
-  for (const RunReport& report : reports) {
-    // who was declined for want of room has been misled about the others, too
-    if (report.worker().empty()) return {DigestsLocked({}), true};
-    named.insert(report.worker());
-  }
-  return {DigestsLocked(named), false};
-}
-
-std::vector<RoomDigest> OwnerShard::DigestsLocked(const std::set<WorkerId>& named) const {
-  struct Sum {
-    std::vector<WorkerRoom> rooms;
-    std::int64_t milli_cores = 0;
-    double waiting_core_ms = 0;
-  };
-  std::map<std::string, Sum> sums;
-  const OutlierDetector& outliers = m_policies.outliers();
-  for (const auto& [id, owned] : m_workers) {
-    const Session& session = owned.session;
-    // a service without a usable worker is told of too
-    Sum& sum = sums[session.listing().service()];
-    const bool wanted = named.empty() || named.count(id) > 0;
-    const auto allowance =
-        session.Usable() ? outliers.Allowance(session.listing().address(), kUnlimitedSlots, m_now)
-                         : 0;
-    if (allowance > 0) sum.milli_cores += session.listing().capacity().milli_cores();
-    if (!wanted) continue;
-    const Resources room = session.runs() < allowance ? session.Room() : Resources(0, 0, 0);
-    if (room.milli_cores() > 0 || !named.empty()) {
-      sum.rooms.emplace_back(id, room, m_speeds.Slowness(id));
-    }
-  }
-  double waiting = 0;
-  for (const WaitingRun& run : m_waiting) {
-    waiting +=
-        static_cast<double>(run.order().needs().milli_cores()) * ToMillis(run.order().estimate());
-  }
-  std::vector<RoomDigest> digests;
-  for (auto& [service, sum] : sums) {
-    const double wait_ms = sum.milli_cores > 0 ? waiting / static_cast<double>(sum.milli_cores) : 0;
-    digests.emplace_back(service, std::move(sum.rooms), FromMillis(wait_ms), sum.milli_cores);
-  }
-  return digests;
-}
-
 }  // namespace sapphireflow
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -93,6 +93,7 @@
 
   void Abort() override {
     if (m_done.exchange(true)) return;
+    m_closes.Remove(m_request->connection_id(), this);
     m_request->create_response(restinio::status_internal_server_error()).connection_close().done();
   }
 
--- a/tests/scenarios/scenario_main.cc
+++ b/tests/scenarios/scenario_main.cc
@@ -1,10 +1,9 @@
 // Runs scenarios: files, or random ones from seeds. Exit code 1 if a promise was broken.
 #include <tclap/CmdLine.h>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
+#include "sapphireflow/settings/read_file.h"
 #include "world.h"
 
 namespace {
@@ -70,10 +69,8 @@
 }
 
 int RunFile(const std::string& file, bool show) {
-  std::ifstream input(file);
-  std::ostringstream text;
-  text << input.rdbuf();
-  const auto script = sapphireflow::scenario::ReadScript(text.str(), file);
+  const auto script =
+      sapphireflow::scenario::ReadScript(sapphireflow::ReadFile(file).value_or(""), file);
   if (const auto* findings = std::get_if<sapphireflow::Findings>(&script)) {
     for (const auto& finding : *findings) std::cout << finding.text() << "\n";
     return 1;
