--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -16,6 +16,7 @@
 #include "sapphireflow/dispatch/owner_lookup.h"
 #include "sapphireflow/membership/home_choice.h"
 #include "sapphireflow/membership/member_listing.h"
+#include "sapphireflow/membership/worker_assignment.h"
 #include "sapphireflow/model/ids.h"
 #include "sapphireflow/model/worker_state.h"
 
@@ -71,21 +72,6 @@
   bool m_reset_link;
 };
 
-/// @brief The workers that a VM commands.
-class WorkerAssignment : public Comparable<WorkerAssignment> {
- public:
-  WorkerAssignment(WorkerListings workers, std::set<WorkerId> deputized)
-      : m_workers(std::move(workers)), m_deputized(std::move(deputized)) {}
-  const WorkerListings& workers() const { return m_workers; }
-  /// @brief Those of them that another member owns when it is in touch.
-  const std::set<WorkerId>& deputized() const { return m_deputized; }
-  auto Fields() const { return std::tie(m_workers, m_deputized); }
-
- private:
-  WorkerListings m_workers;
-  std::set<WorkerId> m_deputized;
-};
-
 /// @brief The members that this VM knows, and the workers listed. Thread-safe: one lock.
 class MemberTable : public OwnerLookup {
  public:
--- /dev/null
+++ b/include/sapphireflow/membership/worker_assignment.h
@@ -0,0 +1,32 @@
+// Part of membership: the workers that a VM commands.
+#ifndef SAPPHIREFLOW_MEMBERSHIP_WORKER_ASSIGNMENT_H_
+#define SAPPHIREFLOW_MEMBERSHIP_WORKER_ASSIGNMENT_H_
+
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "sapphireflow/model/comparable.h"
+#include "sapphireflow/model/worker_state.h"
+
+namespace sapphireflow {
+
+/// @brief The workers that a VM, or a shard of it, commands from now on.
+class WorkerAssignment : public Comparable<WorkerAssignment> {
+ public:
+  WorkerAssignment(WorkerListings workers, std::set<WorkerId> deputized)
+      : m_workers(std::move(workers)), m_deputized(std::move(deputized)) {}
+  const WorkerListings& workers() const { return m_workers; }
+  /// @brief Those that are owned only while their usual owner is out of touch. If it fences this
+  /// VM, it is alive, and has the better claim. May name workers of other shards.
+  const std::set<WorkerId>& deputized() const { return m_deputized; }
+  auto Fields() const { return std::tie(m_workers, m_deputized); }
+
+ private:
+  WorkerListings m_workers;
+  std::set<WorkerId> m_deputized;
+};
+
+}  // namespace sapphireflow
+
+#endif  // SAPPHIREFLOW_MEMBERSHIP_WORKER_ASSIGNMENT_H_
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -66,7 +66,7 @@
     Instant retry_at{};
   };
 
-  void On(const OwnWorkers& event, Instant now, OwnerEffects& out);
+  void On(const WorkerAssignment& event, Instant now, OwnerEffects& out);
   void On(const CoordinatorLost& event, Instant now, OwnerEffects& out);
   void On(const PlaceRuns& event, Instant now, OwnerEffects& out);
   void On(const CancelRuns& event, Instant now, OwnerEffects& out);
--- a/include/sapphireflow/ownership/ownership_event.h
+++ b/include/sapphireflow/ownership/ownership_event.h
@@ -5,13 +5,13 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
 #include "sapphireflow/dispatch/dispatch_message.h"
+#include "sapphireflow/membership/worker_assignment.h"
 #include "sapphireflow/model/worker_state.h"
 #include "sapphireflow/observe/event_log.h"
 #include "sapphireflow/ownership/token_source.h"
@@ -21,22 +21,6 @@
 /// @brief Number of one call to a worker; later calls of a process have higher ones.
 using CallNumber = std::uint64_t;
 
-/// @brief The workers that the shard owns from now on.
-class OwnWorkers : public Comparable<OwnWorkers> {
- public:
-  OwnWorkers(WorkerListings workers, std::set<WorkerId> deputized)
-      : m_workers(std::move(workers)), m_deputized(std::move(deputized)) {}
-  const WorkerListings& workers() const { return m_workers; }
-  /// @brief Those of them that are owned only while their usual owner is out of touch. If it
-  /// fences this VM, it is alive, and has the better claim.
-  const std::set<WorkerId>& deputized() const { return m_deputized; }
-  auto Fields() const { return std::tie(m_workers, m_deputized); }
-
- private:
-  WorkerListings m_workers;
-  std::set<WorkerId> m_deputized;
-};
-
 /// @brief A coordinator is gone or out of touch: nobody waits for its runs.
 class CoordinatorLost : public Comparable<CoordinatorLost> {
  public:
@@ -110,7 +94,7 @@
   auto Fields() const { return std::tuple<>(); }
 };
 
-using OwnerEvent = std::variant<OwnWorkers, CoordinatorLost, PlaceRuns, CancelRuns, AdoptRun,
+using OwnerEvent = std::variant<WorkerAssignment, CoordinatorLost, PlaceRuns, CancelRuns, AdoptRun,
                                 StartReplied, RenewalReplied, OwnerTick>;
 
 /// @brief An event with the time at which it is handled.
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -62,7 +62,7 @@
   return out;
 }
 
-void OwnerShard::On(const OwnWorkers& event, Instant now, OwnerEffects& out) {
+void OwnerShard::On(const WorkerAssignment& event, Instant now, OwnerEffects& out) {
   std::map<WorkerId, const WorkerListing*> wanted;
   for (const WorkerListing& listing : event.workers()) wanted[listing.id()] = &listing;
   for (auto item = m_workers.begin(); item != m_workers.end();) {
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -168,7 +168,7 @@
     by_shard[OwnerShardOf(worker.service())].push_back(worker);
   }
   for (std::size_t i = 0; i < by_shard.size(); ++i) {
-    RunOwners(ForOwners{i, OwnWorkers(std::move(by_shard[i]), own.deputized())}, pass);
+    RunOwners(ForOwners{i, WorkerAssignment(std::move(by_shard[i]), own.deputized())}, pass);
   }
   m_rooms.KeepServices(m_self, Digests());
 }
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -86,7 +86,7 @@
   }
 
   void Hold(const WorkerListings& workers) {
-    Feed(OwnWorkers(workers, {}));
+    Feed(WorkerAssignment(workers, {}));
     for (const WorkerListing& worker : workers) AnswerRenewal({}, {}, worker.id());
   }
 
@@ -192,7 +192,7 @@
 
 TEST_CASE("a new owner stops what nobody adopts, and does not prolong its lease") {
   Owner owner;
-  owner.Feed(OwnWorkers({Listing("w1", 10)}, {}));
+  owner.Feed(WorkerAssignment({Listing("w1", 10)}, {}));
   CHECK(owner.renewals.back().call().lease_until_ms() == 0);
   owner.AnswerRenewal({Run(0)}, {});
   CHECK(owner.renewals.back().call().lease_until_ms() == 0);
@@ -229,7 +229,7 @@
 TEST_CASE("a draining worker gets no new run") {
   Owner owner;
   owner.Hold({Listing("w1", 10)});
-  owner.Feed(OwnWorkers({Listing("w1", 10, true)}, {}));
+  owner.Feed(WorkerAssignment({Listing("w1", 10, true)}, {}));
   owner.Place({0});
   CHECK(owner.starts.empty());
 }
@@ -239,7 +239,7 @@
   owner.Hold({Listing("w1", 10)});
   owner.Place({0});
   owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
-  owner.Feed(OwnWorkers({Listing("w1", 10, false, 2)}, {}));
+  owner.Feed(WorkerAssignment({Listing("w1", 10, false, 2)}, {}));
   REQUIRE(owner.ReportOf(Run(0)));
   CHECK(owner.ReportOf(Run(0))->news() == RunNews::kEnded);
   CHECK(owner.ReportOf(Run(0))->end() == RunEnd::kAbsent);
@@ -274,7 +274,7 @@
   owner.Hold({Listing("w1", 10)});
   owner.Place({0});
   owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
-  owner.Feed(OwnWorkers({}, {}));
+  owner.Feed(WorkerAssignment({}, {}));
   owner.reports.clear();
   owner.Feed(CancelRuns(kCoordinator, kService, {Run(0)}));
   REQUIRE(owner.ReportOf(Run(0)));
@@ -312,7 +312,7 @@
 // turn.
 TEST_CASE("a deputy that is fenced leaves the worker to its usual owner for seconds") {
   Owner owner;
-  owner.Feed(OwnWorkers({Listing("w1", 10)}, {"w1"}));
+  owner.Feed(WorkerAssignment({Listing("w1", 10)}, {"w1"}));
   owner.AnswerRenewal({}, {});
   const RenewLease renewal = owner.renewals.back();
   owner.Feed(RenewalReplied("w1", renewal.call().token(), renewal.call().number(),
@@ -346,7 +346,7 @@
 // had been restarted, theirs were too low for as long.
 TEST_CASE("fenced owners keep their tokens near the time of day") {
   Owner owner;
-  owner.Feed(OwnWorkers({Listing("w1", 10), Listing("w2", 11)}, {"w2"}));
+  owner.Feed(WorkerAssignment({Listing("w1", 10), Listing("w2", 11)}, {"w2"}));
   const auto fence = [&owner](const std::string& worker) {
     for (std::size_t i = owner.renewals.size(); i-- > 0;) {
       const RenewLease renewal = owner.renewals[i];
