--- a/tests/unit/unit-http_server.cpp
+++ b/tests/unit/unit-http_server.cpp
@@ -24,8 +24,9 @@
  public:
   void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) override {
     responder->OnClosed([this] { m_left.set_value(); });
-    m_arrived.set_value(request);
+    // the test goes on as soon as the request has arrived
     m_responder = std::move(responder);
+    m_arrived.set_value(request);
   }
   std::promise<HttpRequest> m_arrived;
   std::promise<void> m_left;
