Leave runs whose orders may have reached a worker's next life to its answer

Ruled out: the lease (another life), the order's token (accepted by a life that knows none). Change: runs ordered since the last lists of the ended life are told as released; their coordinator claims them from the next session, whose first answer tells. A claim of a run on an ended life gets the same. Tests: one check took a run as ended whose order the next life may have got; the first life now tells of it before.

--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -152,6 +152,8 @@
   // calls of renewals on their way
   std::map<CallNumber, Instant> m_renewals;
   CallNumber m_newest_answered = 0;
+  // when this life of the worker last told its lists
+  Instant m_answered_at{};
   bool m_renew_now = true;
   Instant m_renew_at{};
   std::uint32_t m_missed = 0;
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -91,10 +91,14 @@
     Tell(adoption.run(), record, RunNews::kReleased, RunEnd::kAbsent, "not_owner", news);
     return true;
   }
+  if (m_phase == Phase::kOver) {
+    // its next life tells how the run fares
+    Tell(adoption.run(), record, RunNews::kReleased, RunEnd::kAbsent, "life_over", news);
+    return true;
+  }
   const auto ended = m_unclaimed_ends.find(adoption.run());
-  if (ended != m_unclaimed_ends.end() || m_phase == Phase::kOver) {
-    const RunEnd end = ended == m_unclaimed_ends.end() ? RunEnd::kAbsent : ended->second;
-    Tell(adoption.run(), record, RunNews::kEnded, end, "adopted", news);
+  if (ended != m_unclaimed_ends.end()) {
+    Tell(adoption.run(), record, RunNews::kEnded, ended->second, "adopted", news);
     return true;
   }
   // Another owner may have started it since our last answer from the worker, and prolonged the
@@ -163,7 +167,11 @@
 void WorkerSession::EndLife(const std::string& reason, SessionNews& news) {
   for (const auto& [run, record] : m_runs) {
     if (!record.coordinator) continue;
-    Tell(run, record, RunNews::kEnded, RunEnd::kAbsent, reason, news);
+    // what was ordered since the last answer of this life may run in the next one, under the same
+    // id
+    const bool may_run = record.since >= m_answered_at;
+    Tell(run, record, may_run ? RunNews::kReleased : RunNews::kEnded, RunEnd::kAbsent, reason,
+         news);
   }
   m_runs.clear();
   m_unclaimed_ends.clear();
--- a/src/ownership/worker_session_answers.cc
+++ b/src/ownership/worker_session_answers.cc
@@ -97,6 +97,7 @@
         return;
       }
       m_newest_answered = reply.call();
+      m_answered_at = now;
       m_clock_ms = report.clock_ms();
       m_clock_read_at = now;
       m_missed = 0;
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -242,6 +242,9 @@
   owner.Hold({Listing("w1", 10)});
   owner.Place({0});
   owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  // its first life has told that it runs there
+  owner.now += Millis(10);
+  owner.AnswerRenewal({Run(0)}, {});
   owner.Feed(WorkerAssignment({Listing("w1", 10, false, 2)}, {}));
   REQUIRE(owner.ReportOf(Run(0)));
   CHECK(owner.ReportOf(Run(0))->news() == RunNews::kEnded);
@@ -548,3 +551,29 @@
   owner.Feed(CancelRuns(kCoordinator, kService, {Run(0)}));
   CHECK(owner.stops.size() == 1);
 }
+
+// Found by the soak, seed 1: an order that was on its way when its worker crashed was started by the
+// worker's next life, which has the same id, and placed again elsewhere at once.
+TEST_CASE("a run whose order may have reached a worker's next life is not told as ended") {
+  Owner owner;
+  owner.Hold({Listing("w1", 10)});
+  owner.Place({0});
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.now += Millis(10);
+  owner.AnswerRenewal({Run(0)}, {});
+  owner.now += Millis(10);
+  owner.Place({1});
+  REQUIRE(owner.starts.size() == 2);
+  owner.Feed(WorkerAssignment({Listing("w1", 10, false, 2)}, {}));
+  REQUIRE(owner.ReportOf(Run(0)));
+  CHECK(owner.ReportOf(Run(0))->news() == RunNews::kEnded);
+  REQUIRE(owner.ReportOf(Run(1)));
+  CHECK(owner.ReportOf(Run(1))->news() == RunNews::kReleased);
+  // the next life's answer tells how it fares
+  owner.Feed(owner.Adoption(1));
+  const RenewLease renewal = owner.renewals.back();
+  owner.Feed(RenewalReplied("w1", renewal.call().token(), renewal.call().number(), CallOutcome::kOk,
+                            WorkerReport(kWorkerClock, 2, {Run(1)}, {})));
+  owner.Feed(OwnerTick());
+  CHECK(owner.ReportOf(Run(1))->news() == RunNews::kStarted);
+}
