--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -64,7 +64,7 @@
     plan.name = JobName(m_seed, m_next_job++);
     plan.payload = "payload of " + plan.name;
     plan.tasks = static_cast<std::uint32_t>(1 + Pick(4));
-    plan.milli_cores = 1000 * (1 + Pick(6));
+    plan.milli_cores = std::int64_t{1000} * (1 + Pick(6));
     plan.run = std::chrono::milliseconds(20 + Pick(Pick(5) == 0 ? 900 : 200));
     plan.poison = Pick(60) == 0;
     plan.submitted_at = m_clock.Now();
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -49,8 +49,9 @@
   for (std::uint32_t i = 0; i < plan.workers; ++i) AddWorker(i);
   for (std::uint32_t i = 0; i < plan.nodes; ++i) AddNode(i);
   std::vector<Address> fronts;
-  for (std::uint32_t i = 0; i < plan.nodes; ++i)
+  for (std::uint32_t i = 0; i < plan.nodes; ++i) {
     fronts.push_back(At(kFirstNode + i, plan.direct_callers ? kFrontPort : kFrontLinkPort));
+  }
   m_callers = std::make_unique<Callers>(std::move(fronts), m_ledger, m_weather, m_clock, m_timers,
                                         plan.seed);
 }
@@ -97,7 +98,7 @@
 
 std::string Fleet::WriteSettings(std::uint32_t index, const Address& store) const {
   const std::string name = "node-" + std::to_string(index + 1);
-  const std::string path = m_plan.folder + "/" + name + ".conf";
+  std::string path = m_plan.folder + "/" + name + ".conf";
   const std::uint32_t host = kFirstNode + index;
   std::ofstream(path) << "node_name=" << name << "\nip=" << At(host, 0).host()
                       << "\nzone=celaya\nlisten_addresses.front=" << At(host, kFrontPort).text()
