End a stopped dispatch node without the shutdown of log4cplus

Ruled out: the service, the HTTP client and the log's own thread (marks after each). Change: main ends the process once all is stopped and written.

--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -5,6 +5,7 @@
 #include <tclap/CmdLine.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -50,7 +51,8 @@
 }
 
 // @param metrics_port 0 for no metrics
-int Serve(const PlatformSettings& settings, const std::string& file, std::uint16_t metrics_port) {
+int Serve(const PlatformSettings& settings, const std::string& file, std::uint16_t metrics_port,
+          const std::shared_ptr<sapphireflow::LogSink>& sink) {
   sigset_t signals;
   sigemptyset(&signals);
   for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
@@ -58,8 +60,7 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   const sapphireflow::MonotonicClock clock;
-  sapphireflow::BoundedLog log(std::make_shared<sapphireflow::Log4cplusSink>(kStandardOutput),
-                               clock, kLogLimits);
+  sapphireflow::BoundedLog log(sink, clock, kLogLimits);
   sapphireflow::HttpClient http(1);
   const auto& addresses = settings.addresses();
   sapphireflow::platform::KvStore store(addresses.store(), http, log);
@@ -111,7 +112,12 @@
       std::cout << file.getValue() << ": no faults found\n";
       return 0;
     }
-    return Serve(std::get<PlatformSettings>(settings), file.getValue(), metrics.getValue());
+    const auto sink = std::make_shared<sapphireflow::Log4cplusSink>(kStandardOutput);
+    const int code =
+        Serve(std::get<PlatformSettings>(settings), file.getValue(), metrics.getValue(), sink);
+    // All is stopped and written. The shutdown of log4cplus joins a thread pool, which can take
+    // longer than the grace of a planned stop.
+    std::quick_exit(code);
   } catch (const TCLAP::ArgException& problem) {
     std::cerr << problem.argId() << ": " << problem.error() << "\n";
     return kWrongUsage;
