--- a/tests/unit/unit-job_shard.cpp
+++ b/tests/unit/unit-job_shard.cpp
@@ -390,8 +390,8 @@
   CHECK(node.Placed().size() == 4);
 }
 
-// Found by unit-dispatch_fleet, seed 29: the cancel of a job that was given up was lost with a link;
-// its run went on for three seconds, beside the next one that another VM had started.
+// Found by unit-dispatch_fleet, seed 29: the cancel of a job that was given up was lost with a
+// link; its run went on for three seconds, beside the next one that another VM had started.
 TEST_CASE("runs of a job that was given up are cancelled until they have ended") {
   Coordinator node;
   node.Submit({Step(2)});
@@ -418,8 +418,8 @@
   CHECK(node.Count<CancelRuns>() == settled);
 }
 
-// Found by unit-dispatch_fleet, seed 42: a late answer to the cancel of a job's first life ended the
-// run of the same number of its second one.
+// Found by unit-dispatch_fleet, seed 42: a late answer to the cancel of a job's first life ended
+// the run of the same number of its second one.
 TEST_CASE("a job that is handed in again goes on with its numbers") {
   Coordinator node;
   node.Submit({Step(1)});
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -552,8 +552,8 @@
   CHECK(owner.stops.size() == 1);
 }
 
-// Found by the soak, seed 1: an order that was on its way when its worker crashed was started by the
-// worker's next life, which has the same id, and placed again elsewhere at once.
+// Found by the soak, seed 1: an order that was on its way when its worker crashed was started by
+// the worker's next life, which has the same id, and placed again elsewhere at once.
 TEST_CASE("a run whose order may have reached a worker's next life is not told as ended") {
   Owner owner;
   owner.Hold({Listing("w1", 10)});
