--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -322,7 +322,7 @@
   task.phase = TaskPhase::kReady;
   ++task.declines;
   if (report.reason() == CallOutcomeWord(CallOutcome::kStaleRun)) {
-    // the job was handed in before, elsewhere
+    // The job was handed in before, elsewhere, with at most so many runs.
     task.run_number += kMaxRuns;
   } else if (!report.worker().empty()) {
     task.avoid.push_back(report.worker());
--- a/src/transport/bounded_log.cc
+++ b/src/transport/bounded_log.cc
@@ -12,7 +12,7 @@
 namespace sapphireflow {
 namespace {
 
-// lines of this long are written together: each write is a system call
+// lines of this time are written together: each write is a system call
 constexpr Duration kBatchTime = std::chrono::milliseconds(100);
 // the sink's reader may be gone; a planned stop has more to do than to wait for it
 constexpr Duration kLastWait = std::chrono::milliseconds(300);
--- a/src/transport/directory_watch.cc
+++ b/src/transport/directory_watch.cc
@@ -14,7 +14,8 @@
 // a leaving worker has two seconds to be left alone; a watch that went silent is noticed within
 // this and the store's time for an answer
 constexpr Duration kWorkersWait = std::chrono::milliseconds(1500);
-// every report of a worker is a change: a third of them come together, and each call is priced
+// every report of a worker is a change: half of the workers report in this time, and each call is
+// priced
 constexpr Duration kWorkersPause = std::chrono::milliseconds(800);
 // three tries within the second after which a bound counts
 constexpr Duration kRetry = std::chrono::milliseconds(300);
