Log which runs a worker had when it crashed, and how its silence began

A crash, a partition and a lapse looked the same in the logs: end=lapsed why=worker_silent for each run, and worker_lost without any run seconds later. The HTTP client now tells a closed connection from a timeout (HttpResult:: disconnected), calls to workers have the outcome 'disconnected' (handled as 'unknown'), and the owner logs worker_runs_lost with the first sign, the silence and the age of each run. No decision changes. Two tests of the HTTP client check the flag in addition.

--- a/include/sapphireflow/model/worker_listing.h
+++ b/include/sapphireflow/model/worker_listing.h
@@ -151,8 +151,15 @@
   /// partition refuses connections too
   kNotSent,
   kUnknown,  ///< no complete response; the worker may have executed the call or may still do so
+  /// as `kUnknown`, and the connection was closed: the worker has crashed or was cut off
+  kDisconnected,
 };
 
+/// @brief Whether the worker may have executed the call or may still do so.
+inline bool MayHaveExecuted(CallOutcome outcome) {
+  return outcome == CallOutcome::kUnknown || outcome == CallOutcome::kDisconnected;
+}
+
 inline const char* CallOutcomeName(CallOutcome outcome) {
   switch (outcome) {
     case CallOutcome::kOk:
@@ -175,6 +182,8 @@
       return "not_sent";
     case CallOutcome::kUnknown:
       return "unknown";
+    case CallOutcome::kDisconnected:
+      return "disconnected";
   }
   return "?";
 }
--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -41,6 +41,31 @@
   Duration m_measured;
 };
 
+/// @brief The runs that a worker had when it stopped answering or its process ended, for the log.
+class LostWorkerRuns : public Comparable<LostWorkerRuns> {
+ public:
+  LostWorkerRuns(std::string cause, std::string first_sign, Duration silence, std::string runs)
+      : m_cause(std::move(cause)),
+        m_first_sign(std::move(first_sign)),
+        m_silence(silence),
+        m_runs(std::move(runs)) {}
+  /// @brief `worker_silent`, or how the end of the process became known.
+  const std::string& cause() const { return m_cause; }
+  /// @brief Outcome of the first call without an answer; empty if there was none.
+  const std::string& first_sign() const { return m_first_sign; }
+  /// @brief Time since that call ended.
+  Duration silence() const { return m_silence; }
+  /// @brief `job.step.task/run@age` for each run, with its age in ms at the first sign.
+  const std::string& runs() const { return m_runs; }
+  auto Fields() const { return std::tie(m_cause, m_first_sign, m_silence, m_runs); }
+
+ private:
+  std::string m_cause;
+  std::string m_first_sign;
+  Duration m_silence;
+  std::string m_runs;
+};
+
 /// @brief What the owner shard has to act on after a session handled an event.
 struct SessionDelta {
   std::vector<AddressedReport> reports;
@@ -51,6 +76,8 @@
   bool fenced = false;
   // a call to the worker got no reply
   bool reply_lost = false;
+  // set if runs ended because the worker did
+  std::optional<LostWorkerRuns> lost_runs;
 };
 
 /// @brief State of one owned worker. Not thread-safe: guarded by the lock of its shard.
@@ -106,7 +133,7 @@
   /// its lease.
   void OnPossibleTakeover(Instant now);
   /// @brief Handles the end of the worker's process, which ends all its runs.
-  void EndIncarnation(const std::string& reason, SessionDelta& delta);
+  void EndIncarnation(const std::string& reason, Instant now, SessionDelta& delta);
   /// @brief Hands all runs over to the worker's next owner.
   void Release(SessionDelta& delta);
 
@@ -145,6 +172,9 @@
   void AddReport(const RunKey& run, const Run& record, RunTransition what, RunEnd end,
                  const std::string& reason, SessionDelta& delta) const;
   void MarkFenced(SessionDelta& delta);
+  // records the outcome of a call that the worker has not answered
+  void NoteNoAnswer(CallOutcome outcome, Instant now);
+  LostWorkerRuns DescribeLostRuns(const std::string& cause, Instant now) const;
   void ProcessEndedRuns(const WorkerReport& report, Instant now, SessionDelta& delta);
   void ReconcileRunning(const RenewalReplied& reply, Instant now, SessionDelta& delta);
   // whether a failed run is evidence against the worker rather than against its job; records the
@@ -173,6 +203,9 @@
   std::uint32_t m_missed_renewals = 0;
   // a call failed or the token changed since the last report; no run is started meanwhile
   bool m_suspect = false;
+  // the first call since the last report that got no answer
+  std::optional<CallOutcome> m_first_sign;
+  Instant m_first_sign_at{};
   // start requests in a row without a reply
   std::uint32_t m_consecutive_lost_starts = 0;
   // the job whose failure was last counted against the worker
--- a/include/sapphireflow/transport/http.h
+++ b/include/sapphireflow/transport/http.h
@@ -145,19 +145,22 @@
 
 class HttpResult : public Comparable<HttpResult> {
  public:
-  HttpResult(CallEnd end, int status, std::string body)
-      : m_end(end), m_status(status), m_body(std::move(body)) {}
+  HttpResult(CallEnd end, int status, std::string body, bool disconnected = false)
+      : m_end(end), m_status(status), m_body(std::move(body)), m_disconnected(disconnected) {}
   CallEnd end() const { return m_end; }
   /// @brief HTTP status code; 0 unless `end()` is `kResponded`.
   int status() const { return m_status; }
   /// @brief Body of the response, or a description of the error if there was none.
   const std::string& body() const { return m_body; }
-  auto Fields() const { return std::tie(m_end, m_status, m_body); }
+  /// @brief For `kLost`: whether the connection was closed, rather than the time ran out.
+  bool disconnected() const { return m_disconnected; }
+  auto Fields() const { return std::tie(m_end, m_status, m_body, m_disconnected); }
 
  private:
   CallEnd m_end;
   int m_status;
   std::string m_body;
+  bool m_disconnected;
 };
 
 }  // namespace sapphireflow
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -88,7 +88,7 @@
     Delta delta;
     const std::size_t runs = owned.session.runs();
     if (found != assigned_listings.end()) {
-      owned.session.EndIncarnation("reborn", delta);
+      owned.session.EndIncarnation("reborn", now, delta);
     } else {
       owned.session.Release(delta);
     }
@@ -189,7 +189,7 @@
   Delta delta;
   Session& session = found->second.session;
   session.OnStartReply(event, m_next_call.load(), now, delta);
-  if (event.outcome() == CallOutcome::kUnknown) {
+  if (MayHaveExecuted(event.outcome())) {
     // a higher token invalidates a start request whose outcome is unknown
     session.Reacquire(m_tokens.Next(now), now);
   }
@@ -269,6 +269,14 @@
     m_policies.outliers().OnSuccess(address);
   }
   for (std::uint32_t i = 0; i < delta.failures; ++i) m_policies.outliers().OnFailure(address, now);
+  if (delta.lost_runs) {
+    out.emplace_back(LogEvent(LogLevel::kWarning, "worker_runs_lost",
+                              {{"worker", id},
+                               {"cause", delta.lost_runs->cause()},
+                               {"first_sign", delta.lost_runs->first_sign()},
+                               {"silent_ms", MillisText(delta.lost_runs->silence())},
+                               {"runs", delta.lost_runs->runs()}}));
+  }
   if (delta.reply_lost) m_last_lost_reply_at = now;
   if (!delta.fenced) return;
   const std::uint32_t doublings = std::min(owned.refusals, kMaxBackoffDoublings);
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphireflow/dispatch/detail/job_key_text.h"
+
 namespace sapphireflow::detail {
 namespace {
 
@@ -147,6 +149,7 @@
   if (m_phase != Phase::kHeld && m_phase != Phase::kAcquiring) return;
   // otherwise the last reply is newer than the last request that could have extended the lease
   if (!m_suspect) return;
+  delta.lost_runs = DescribeLostRuns(kSilentWorkerReason, now);
   for (const auto& [run, record] : m_runs) {
     if (!record.coordinator) continue;
     AddReport(run, record, RunTransition::kEnded, RunEnd::kLapsed, kSilentWorkerReason, delta);
@@ -173,7 +176,27 @@
   delta.fenced = true;
 }
 
-void WorkerSession::EndIncarnation(const std::string& reason, SessionDelta& delta) {
+void WorkerSession::NoteNoAnswer(CallOutcome outcome, Instant now) {
+  if (m_first_sign) return;
+  m_first_sign = outcome;
+  m_first_sign_at = now;
+}
+
+LostWorkerRuns WorkerSession::DescribeLostRuns(const std::string& cause, Instant now) const {
+  const Instant lost_at = m_first_sign ? m_first_sign_at : now;
+  std::string runs;
+  for (const auto& [run, record] : m_runs) {
+    if (!runs.empty()) runs += ',';
+    runs += JobKeyText(run.task().job()) + '.' + std::to_string(run.task().step()) + '.' +
+            std::to_string(run.task().index()) + '/' + std::to_string(run.number()) + '@' +
+            std::to_string(static_cast<std::int64_t>(ToMillis(lost_at - record.tracked_since)));
+  }
+  return {cause, m_first_sign ? CallOutcomeName(*m_first_sign) : "", now - lost_at,
+          std::move(runs)};
+}
+
+void WorkerSession::EndIncarnation(const std::string& reason, Instant now, SessionDelta& delta) {
+  if (!m_runs.empty()) delta.lost_runs = DescribeLostRuns(reason, now);
   for (const auto& [run, record] : m_runs) {
     if (!record.coordinator) continue;
     // a run that was requested after the last report of this incarnation may have been started by
--- a/src/ownership/worker_session_replies.cc
+++ b/src/ownership/worker_session_replies.cc
@@ -42,13 +42,15 @@
       AddReport(reply.run(), record, RunTransition::kStarted, RunEnd::kDone, "", delta);
       return;
     case CallOutcome::kUnknown:
+    case CallOutcome::kDisconnected:
       // the run occupies its resources until a renewal under a higher token shows its state
       m_suspect = true;
+      NoteNoAnswer(reply.outcome(), now);
       delta.reply_lost = true;
       if (++m_consecutive_lost_starts >= kLostStartsForFailure) ++delta.failures;
       return;
     case CallOutcome::kOtherIncarnation:
-      EndIncarnation(CallOutcomeName(reply.outcome()), delta);
+      EndIncarnation(CallOutcomeName(reply.outcome()), now, delta);
       return;
     case CallOutcome::kFenced:
       if (reply.token() == m_token) {
@@ -62,6 +64,7 @@
     case CallOutcome::kNotSent:
       ++delta.failures;
       m_suspect = true;
+      NoteNoAnswer(reply.outcome(), now);
       m_renewal_wanted = true;
       break;
     case CallOutcome::kExpired:
@@ -94,7 +97,7 @@
       const WorkerReport& report = *reply.report();
       if (report.process_start_ms() != 0 && m_listing.process_start_ms() != 0 &&
           report.process_start_ms() != m_listing.process_start_ms()) {
-        EndIncarnation("reborn", delta);
+        EndIncarnation("reborn", now, delta);
         return;
       }
       m_newest_answered_call = reply.call();
@@ -104,6 +107,7 @@
       m_missed_renewals = 0;
       m_phase = Phase::kHeld;
       m_suspect = false;
+      m_first_sign.reset();
       ProcessEndedRuns(report, now, delta);
       ReconcileRunning(reply, now, delta);
       m_renewal_wanted = !HasNewerRenewalInFlight(reply.call());
@@ -113,12 +117,13 @@
       if (reply.token() == m_token) MarkFenced(delta);
       return;
     case CallOutcome::kOtherIncarnation:
-      EndIncarnation(CallOutcomeName(reply.outcome()), delta);
+      EndIncarnation(CallOutcomeName(reply.outcome()), now, delta);
       m_renew_after = now + kPauseAfterProcessEnd;
       return;
     default:
       ++m_missed_renewals;
       m_suspect = true;
+      NoteNoAnswer(reply.outcome(), now);
       m_renewal_wanted = !HasNewerRenewalInFlight(reply.call());
       delta.reply_lost = true;
       // the first retry is immediate, because a single reply may have been lost
--- a/tests/unit/unit-http_client.cpp
+++ b/tests/unit/unit-http_client.cpp
@@ -72,7 +72,9 @@
   const HttpCall call("POST", Address(INADDR_LOOPBACK, server.port), "/v1/tasks", "", "BODY",
                       std::chrono::seconds(2));
   CHECK(client.CallAndWait(call).end() == CallEnd::kResponded);
-  CHECK(client.CallAndWait(call).end() == CallEnd::kLost);
+  const HttpResult lost = client.CallAndWait(call);
+  CHECK(lost.end() == CallEnd::kLost);
+  CHECK(lost.disconnected());
   CHECK(server.bodies_received == 2);
 }
 
@@ -172,6 +174,8 @@
 TEST_CASE("a response that stops arriving is lost soon") {
   TricklingServer server(2);
   const auto start = std::chrono::steady_clock::now();
-  CHECK(ReadFrom(server, std::chrono::seconds(60)).end() == CallEnd::kLost);
+  const HttpResult lost = ReadFrom(server, std::chrono::seconds(60));
+  CHECK(lost.end() == CallEnd::kLost);
+  CHECK_FALSE(lost.disconnected());
   CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(5));
 }
