--- /dev/null
+++ b/tests/unit/fleet_simulation.h
@@ -0,0 +1,674 @@
+// Simulation of dispatch nodes and workers in one process on a virtual clock, with random delays,
+// stalls, lost replies and lost links. The guarantees are checked at the workers and the callers.
+#ifndef SAPPHIREFLOW_TESTS_UNIT_FLEET_SIMULATION_H_
+#define SAPPHIREFLOW_TESTS_UNIT_FLEET_SIMULATION_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sapphireflow/routing/dispatch_node.h"
+
+namespace sapphireflow::simulation {
+
+inline const Instant kStart = FromUnixMillis(1700000000000);
+inline const std::string kService = "workshop";
+inline const std::vector<std::string> kZones = {"celaya", "leon", "irapuato"};
+inline constexpr std::int64_t kCapacity = 16000;
+
+inline Duration Millis(double millis) { return FromMillis(millis); }
+
+struct Violations {
+  std::vector<std::string> list;
+  void Add(const std::string& what) { list.push_back(what); }
+};
+
+/// @brief What happens in a simulated world besides delays, stalls and losses.
+struct FleetFaults {
+  // share of the jobs with a task that crashes each worker that starts it
+  double crashing_share = 0;
+  // longest time from the start of such a task to the crash; the shortest is 10 ms
+  int max_fuse_ms = 12;
+  // how long a caller waits for an answer; 0 for 1.5 or 4 s at random. Callers submit a job without
+  // an answer again, at any member.
+  int answer_timeout_ms = 0;
+  // members killed and started again
+  int member_kills = 0;
+  // periods in which one zone is cut off from the others
+  int zone_cuts = 0;
+  // workers that are cut off from all members, for longer than their leases
+  int worker_cuts = 0;
+  // how often a worker's capacity shrinks for some seconds
+  int shrinkings = 0;
+  bool Any() const {
+    return crashing_share > 0 || member_kills > 0 || zone_cuts > 0 || worker_cuts > 0 ||
+           shrinkings > 0;
+  }
+};
+
+// a worker with the behaviour that the platform specifies
+struct FleetWorker {
+  struct RunningRun {
+    std::uint32_t number = 0;
+    std::int64_t needs = 0;
+    std::uint64_t serial = 0;
+  };
+  WorkerId id;
+  Address address;
+  std::string zone;
+  std::int64_t born = 1;
+  bool is_down = false;
+  Instant cut_until{};
+  std::int64_t capacity = kCapacity;
+  // the largest capacity that a start may still count on; follows a smaller one late
+  std::int64_t counted_capacity = kCapacity;
+  FencingToken highest = 0;
+  std::map<TaskKey, RunningRun> running;
+  std::map<TaskKey, std::uint32_t> highest_ended;
+  std::vector<EndedRun> ended;
+  std::uint64_t next_end = 1;
+  Instant lease_ends{};
+  // replies to renewals that wait for a run to end; sent when one does
+  std::vector<std::function<void()>> held_replies;
+  // what the callers of unanswered requests see if the process ends
+  std::vector<std::function<void()>> disconnects;
+};
+
+class Fleet {
+ public:
+  // @param zones over how many zones the members and workers are spread; in more than one, some
+  // members own no workers, and coordinators use owners that they know from relays
+  explicit Fleet(std::uint32_t seed, std::size_t zones = 1, FleetFaults faults = {})
+      : m_random(seed), m_faults(faults), m_zones(zones) {
+    m_node_count = zones == 1 ? 2 + Pick(4) : zones * (3 + Pick(4));
+    const std::size_t workers = zones == 1 ? 3 + Pick(4) : zones * (1 + Pick(3));
+    for (std::size_t i = 0; i < m_node_count; ++i) {
+      const NodeId id(Address(static_cast<std::uint32_t>(i + 1), 7720), 1);
+      m_members.emplace_back(id, kZones[i % zones], i < zones ? 500 : 90);
+      m_nodes.push_back(MakeNode(i));
+      m_resume_at.push_back(kStart);
+      m_epochs.push_back(0);
+    }
+    for (std::size_t i = 0; i < workers; ++i) {
+      FleetWorker worker;
+      worker.id = "w" + std::to_string(i);
+      worker.address = Address(static_cast<std::uint32_t>(100 + i), 80);
+      worker.zone = kZones[i % zones];
+      m_workers.emplace(worker.address, worker);
+    }
+    for (const auto& [address, worker] : m_workers) m_listings.emplace(address, ListingOf(worker));
+    for (std::size_t i = 0; i < m_node_count; ++i) {
+      Feed(i, WorkersListed(CurrentListings()));
+      Feed(i, MembersListed(m_members));
+      Tick(i);
+    }
+    if (m_faults.Any()) ScheduleFaults();
+  }
+
+  // submits jobs for five seconds, then leaves time for all of them to end
+  void Run() {
+    for (int i = 0; i < kJobs; ++i) {
+      At(kStart + Millis(500.0 + Pick(5000)), [this, i] { Submit(static_cast<JobKey>(i + 1)); });
+    }
+    const auto length = std::chrono::seconds(m_faults.Any() ? 60 : 14);
+    while (!m_events.empty() && m_now < kStart + length) {
+      const auto first = m_events.begin();
+      m_now = std::max(m_now, first->first);
+      const auto action = std::move(first->second);
+      m_events.erase(first);
+      action();
+    }
+  }
+
+  Violations violations;
+  std::uint32_t completed = 0;
+  std::uint32_t refused = 0;
+  // by whether the job has a task that crashes its workers
+  std::uint32_t failed_crashing = 0;
+  std::uint32_t crashes = 0;
+  // jobs without such a task that were never answered with success
+  std::uint32_t Unserved() const {
+    std::uint32_t count = 0;
+    for (const auto& [key, job] : m_jobs) {
+      if (!job.crashing_task && !job.completed && !job.caller_left) ++count;
+    }
+    return count;
+  }
+
+ private:
+  static constexpr int kJobs = 160;
+  struct Job {
+    JobOrderPtr order;
+    bool started = false;
+    bool refused = false;
+    // whether a submission ended other than by a refusal
+    bool other_attempts = false;
+    std::set<std::uint32_t> done;
+    std::uint32_t tries = 0;
+    bool completed = false;
+    bool caller_left = false;
+    // submissions without an answer yet
+    std::uint32_t open = 0;
+    std::optional<std::uint32_t> crashing_task;
+    std::uint32_t crashes = 0;
+    // starts of the crashing task after three workers have crashed
+    std::uint32_t starts_beyond = 0;
+  };
+
+  Duration AnswerTimeout() {
+    if (m_faults.answer_timeout_ms > 0) return Millis(m_faults.answer_timeout_ms);
+    return Millis(Chance(0.5) ? 1500 : 4000);
+  }
+  // returns a uniformly distributed number below the bound
+  std::size_t Pick(std::size_t below) {
+    return std::uniform_int_distribution<std::size_t>(0, below - 1)(m_random);
+  }
+  // returns true with the given probability
+  bool Chance(double share) {
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+  }
+  void At(Instant at, std::function<void()> action) { m_events.emplace(at, std::move(action)); }
+  void After(Duration pause, std::function<void()> action) { At(m_now + pause, std::move(action)); }
+
+  // a node handles its events in order, and stalls at times
+  void Feed(std::size_t node, DispatchEvent event) {
+    if (Chance(0.002)) m_resume_at[node] = std::max(m_resume_at[node], m_now) + Millis(Pick(1500));
+    if (m_resume_at[node] > m_now) {
+      At(m_resume_at[node], [this, node, event = std::move(event), epoch = m_epochs[node]] {
+        if (m_epochs[node] == epoch) Handle(node, event);
+      });
+    } else {
+      Handle(node, event);
+    }
+  }
+
+  // as Feed, unless the member has been started again since
+  void FeedIfAlive(std::size_t node, std::uint32_t epoch, DispatchEvent event) {
+    if (m_epochs[node] == epoch) Feed(node, std::move(event));
+  }
+
+  void Handle(std::size_t node, const DispatchEvent& event) {
+    const DispatchEffects effects = m_nodes[node]->Apply(DispatchInput(m_now, event));
+    // the threads of a node may execute effects after those of a later event
+    const Duration extra_delay = Chance(0.01) ? Millis(Pick(30)) : Duration::zero();
+    for (const DispatchEffect& effect : effects) {
+      After(extra_delay, [this, node, effect, epoch = m_epochs[node]] {
+        if (m_epochs[node] != epoch) return;
+        std::visit([&](const auto& one) { Execute(node, one); }, effect);
+      });
+    }
+  }
+
+  void Tick(std::size_t node) {
+    Feed(node, DispatchTick());
+    if (Pick(6) == 0) Feed(node, StoreAnswered());
+    After(Millis(50), [this, node] { Tick(node); });
+  }
+
+  void Execute(std::size_t /*node*/, const LogEvent& /*effect*/) {}
+  void Execute(std::size_t /*node*/, const JobFinished& /*effect*/) {}
+
+  void Execute(std::size_t node, const SendMessage& effect) {
+    for (const Address& to : effect.to()) {
+      const std::size_t target = to.ip() - 1;
+      if (IsCut(node, target)) continue;
+      if (Chance(0.001)) {
+        // the link is lost, including messages in transit
+        Feed(node, LinkDown(to));
+        continue;
+      }
+      const Duration latency = Chance(0.01) ? Millis(Pick(600)) : Millis(0.3 + 0.1 * Pick(10));
+      Instant& last = m_link_times[{node, target}];
+      // messages arrive in order, except on a link that has replaced a lost one
+      last = Chance(0.002) ? m_now + latency : std::max(last, m_now + latency);
+      At(last, [this, target, message = effect.message(), epoch = m_epochs[target]] {
+        FeedIfAlive(target, epoch, message);
+      });
+    }
+  }
+
+  void Execute(std::size_t node, const ResetLink& effect) { Feed(node, LinkDown(effect.peer())); }
+
+  void Execute(std::size_t node, const StartRun& order) {
+    CallWorker(
+        node, order.call(), order.timeout(),
+        [this, node, order, epoch = m_epochs[node]](CallOutcome outcome) {
+          const WorkerCall& call = order.call();
+          FeedIfAlive(node, epoch,
+                      StartReplied(call.worker(), order.run(), call.token(), call.number(), outcome,
+                                   ClockMs()));
+        },
+        [this, order] { return Start(order); });
+  }
+
+  void Execute(std::size_t node, const StopRun& order) {
+    CallWorker(
+        node, order.call(), order.timeout(), [](CallOutcome) {},
+        [this, order] {
+          FleetWorker& worker = m_workers.at(order.call().address());
+          if (Fenced(worker, order.call())) return CallOutcome::kFenced;
+          const TaskKey task = order.run().task();
+          const auto found = worker.running.find(task);
+          if (found == worker.running.end() || found->second.number > order.run().number()) {
+            worker.highest_ended[task] = std::max(worker.highest_ended[task], order.run().number());
+          } else {
+            End(worker, task, RunEnd::kStopped);
+          }
+          return CallOutcome::kOk;
+        });
+  }
+
+  void Execute(std::size_t node, const RenewLease& order) {
+    const WorkerCall call = order.call();
+    const auto answered = std::make_shared<bool>(false);
+    const std::uint32_t epoch = m_epochs[node];
+    const auto reply = [this, node, call, answered, epoch](CallOutcome outcome) {
+      if (std::exchange(*answered, true)) return;
+      std::optional<WorkerReport> report;
+      if (outcome == CallOutcome::kOk) report = Report(m_workers.at(call.address()));
+      const Duration latency = Millis(0.3);
+      After(latency, [this, node, call, outcome, report, epoch] {
+        FeedIfAlive(node, epoch,
+                    RenewalReplied(call.worker(), call.token(), call.number(), outcome, report));
+      });
+    };
+    const bool lost = Chance(0.01);
+    After(order.timeout(), [reply] { reply(CallOutcome::kUnknown); });
+    After(Millis(0.3), [this, node, order, call, reply, lost] {
+      FleetWorker& worker = m_workers.at(call.address());
+      if (IsUnreachable(node, worker)) return;
+      if (worker.is_down) return reply(CallOutcome::kNotSent);
+      if (worker.id != call.worker()) return reply(CallOutcome::kOtherIncarnation);
+      worker.disconnects.push_back([reply] { reply(CallOutcome::kDisconnected); });
+      const bool fenced = Fenced(worker, call);
+      if (lost) return;
+      if (fenced) return reply(CallOutcome::kFenced);
+      worker.ended.erase(
+          std::remove_if(worker.ended.begin(), worker.ended.end(),
+                         [&](const EndedRun& end) { return end.number() <= order.acknowledged(); }),
+          worker.ended.end());
+      ExtendLease(worker, call.lease_until_ms());
+      if (order.wait() == Duration::zero() || !worker.ended.empty()) return reply(CallOutcome::kOk);
+      worker.held_replies.push_back([reply] { reply(CallOutcome::kOk); });
+      After(order.wait(), [reply] { reply(CallOutcome::kOk); });
+    });
+  }
+
+  // a call that may be delayed or lost, or whose reply may be lost
+  void CallWorker(std::size_t node, const WorkerCall& call, Duration timeout,
+                  std::function<void(CallOutcome)> reply, std::function<CallOutcome()> work) {
+    const auto answered = std::make_shared<bool>(false);
+    const auto once = [reply = std::move(reply), answered](CallOutcome outcome) {
+      if (!std::exchange(*answered, true)) reply(outcome);
+    };
+    After(timeout, [once] { once(CallOutcome::kUnknown); });
+    const bool late = Chance(0.01);
+    const bool request_lost = Chance(0.003);
+    const bool reply_lost = Chance(0.01);
+    if (request_lost) return;
+    After(late ? Millis(Pick(3000)) : Millis(0.3), [this, node, call, once, work, reply_lost] {
+      FleetWorker& worker = m_workers.at(call.address());
+      if (IsUnreachable(node, worker)) return;
+      if (worker.is_down) return once(CallOutcome::kNotSent);
+      if (worker.id != call.worker()) return once(CallOutcome::kOtherIncarnation);
+      worker.disconnects.push_back([once] { once(CallOutcome::kDisconnected); });
+      const CallOutcome outcome = work();
+      if (!reply_lost) After(Millis(0.3), [once, outcome] { once(outcome); });
+    });
+  }
+
+  std::int64_t ClockMs() const {
+    return static_cast<std::int64_t>(ToMillis(m_now - kStart)) + 400000;
+  }
+
+  bool Fenced(FleetWorker& worker, const WorkerCall& call) const {
+    if (call.token() < worker.highest) return true;
+    worker.highest = call.token();
+    return false;
+  }
+
+  void ExtendLease(FleetWorker& worker, std::int64_t until_ms) {
+    const Instant requested = kStart + Millis(static_cast<double>(until_ms - 400000));
+    const Instant latest_end = m_now + Millis(1000);
+    worker.lease_ends = std::max(worker.lease_ends, std::min(requested, latest_end));
+    At(worker.lease_ends, [this, &worker] {
+      if (m_now < worker.lease_ends) return;
+      while (!worker.running.empty()) {
+        End(worker, worker.running.begin()->first, RunEnd::kLapsed);
+      }
+    });
+  }
+
+  WorkerReport Report(const FleetWorker& worker) const {
+    std::vector<RunKey> running;
+    for (const auto& [task, run_info] : worker.running) running.emplace_back(task, run_info.number);
+    return {ClockMs(), worker.born, std::move(running), worker.ended};
+  }
+
+  CallOutcome Start(const StartRun& order) {
+    FleetWorker& worker = m_workers.at(order.call().address());
+    if (Fenced(worker, order.call())) return CallOutcome::kFenced;
+    const TaskKey task = order.run().task();
+    const auto highest_ended = worker.highest_ended.find(task);
+    if (highest_ended != worker.highest_ended.end() &&
+        order.run().number() <= highest_ended->second) {
+      return CallOutcome::kStaleRun;
+    }
+    if (worker.running.count(task) > 0) return CallOutcome::kOk;
+    if (order.call().lease_until_ms() <= ClockMs()) return CallOutcome::kExpired;
+    ExtendLease(worker, order.call().lease_until_ms());
+    Job& job = m_jobs.at(task.job());
+    job.started = true;
+    CheckRefusal(task.job(), job);
+    const std::int64_t needs = job.order->steps()[0].needs().milli_cores();
+    std::int64_t taken = needs;
+    for (const auto& [other, run_info] : worker.running) taken += run_info.needs;
+    if (taken > worker.counted_capacity) {
+      violations.Add("limit: " + worker.id + " has " + std::to_string(taken) + " of " +
+                     std::to_string(worker.counted_capacity) + " at " +
+                     std::to_string(ToMillis(m_now - kStart)));
+    }
+    for (const auto& [address, other] : m_workers) {
+      if (other.running.count(task) == 0) continue;
+      violations.Add("twice: job " + std::to_string(task.job()) + " task " +
+                     std::to_string(task.index()) + " run " + std::to_string(order.run().number()) +
+                     " on " + worker.id + " beside run " +
+                     std::to_string(other.running.at(task).number) + " on " + other.id + " at " +
+                     std::to_string(ToMillis(m_now - kStart)));
+    }
+    const std::uint64_t serial = ++m_serial;
+    worker.running[task] = FleetWorker::RunningRun{order.run().number(), needs, serial};
+    if (job.crashing_task == task.index()) {
+      if (job.crashes >= 3 && ++job.starts_beyond == 3) {
+        violations.Add("budget: job " + std::to_string(task.job()) +
+                       " was started three times more after " + std::to_string(job.crashes) +
+                       " crashes, at " + std::to_string(ToMillis(m_now - kStart)));
+      }
+      const auto fuse = Millis(10.0 + Pick(static_cast<std::size_t>(m_faults.max_fuse_ms)));
+      After(fuse, [this, &worker, task, serial] {
+        const auto found = worker.running.find(task);
+        if (found == worker.running.end() || found->second.serial != serial) return;
+        ++m_jobs.at(task.job()).crashes;
+        ++crashes;
+        Crash(worker);
+      });
+      return CallOutcome::kOk;
+    }
+    const double factor = Chance(0.05) ? 8.0 : 0.5 + 0.1 * Pick(10);
+    After(Millis(ToMillis(job.order->steps()[0].estimate()) * factor),
+          [this, &worker, task, serial] {
+            const auto found = worker.running.find(task);
+            if (found == worker.running.end() || found->second.serial != serial) return;
+            m_jobs.at(task.job()).done.insert(task.index());
+            End(worker, task, RunEnd::kDone);
+          });
+    return CallOutcome::kOk;
+  }
+
+  std::unique_ptr<DispatchNode> MakeNode(std::size_t index) const {
+    return std::make_unique<DispatchNode>(
+        m_members[index], DispatchSettings(LeaseLimits(Millis(1000)), 2.0, "least-slack",
+                                           "slowest-sufficient", "consecutive-failures"));
+  }
+
+  static WorkerListing ListingOf(const FleetWorker& worker) {
+    return {worker.id,
+            worker.address,
+            kService,
+            worker.zone,
+            std::vector<std::string>(),
+            Resources(worker.capacity, 32768, 0),
+            worker.born,
+            false};
+  }
+
+  WorkerListings CurrentListings() const {
+    WorkerListings listings;
+    for (const auto& [address, listing] : m_listings) listings.push_back(listing);
+    return listings;
+  }
+
+  // the platform's store, as the members that read the list of workers see it
+  void PublishWorkers() {
+    for (std::size_t i = 0; i < m_node_count; ++i) {
+      if (m_nodes[i]->ReadsWorkers(m_now)) Feed(i, WorkersListed(CurrentListings()));
+      Feed(i, StoreAnswered());
+    }
+    After(Millis(400), [this] { PublishWorkers(); });
+  }
+
+  void ScheduleFaults() {
+    At(kStart + Millis(400), [this] { PublishWorkers(); });
+    for (int i = 0; i < m_faults.member_kills; ++i) {
+      At(kStart + Millis(1000.0 + Pick(9000)), [this] { KillMember(Pick(m_node_count)); });
+    }
+    for (int i = 0; i < m_faults.zone_cuts; ++i) {
+      const std::size_t zone = Pick(m_zones);
+      const Instant from = kStart + Millis(1000.0 + Pick(8000));
+      const Instant until = from + Millis(2000.0 + Pick(6000));
+      At(from, [this, zone, until] { m_zone_cut_until[zone] = until; });
+    }
+    for (int i = 0; i < m_faults.worker_cuts; ++i) {
+      At(kStart + Millis(500.0 + Pick(7000)),
+         [this] { PickWorker().cut_until = m_now + Millis(1500.0 + Pick(5000)); });
+    }
+    for (int i = 0; i < m_faults.shrinkings; ++i) {
+      At(kStart + Millis(500.0 + Pick(8000)), [this] { Shrink(PickWorker()); });
+    }
+  }
+
+  FleetWorker& PickWorker() {
+    return std::next(m_workers.begin(), static_cast<std::ptrdiff_t>(Pick(m_workers.size())))
+        ->second;
+  }
+
+  bool IsCut(std::size_t node, std::size_t target) const {
+    const std::size_t from = node % m_zones;
+    const std::size_t to = target % m_zones;
+    return from != to && (IsZoneCut(from) || IsZoneCut(to));
+  }
+  bool IsZoneCut(std::size_t zone) const {
+    const auto found = m_zone_cut_until.find(zone);
+    return found != m_zone_cut_until.end() && m_now < found->second;
+  }
+  bool IsUnreachable(std::size_t node, const FleetWorker& worker) const {
+    const auto zone = static_cast<std::size_t>(
+        std::find(kZones.begin(), kZones.end(), worker.zone) - kZones.begin());
+    return m_now < worker.cut_until || IsCut(node, zone);
+  }
+
+  // the process ends with all its runs, and another one starts at the address seconds later
+  void Crash(FleetWorker& worker) {
+    worker.is_down = true;
+    worker.running.clear();
+    worker.highest_ended.clear();
+    worker.ended.clear();
+    worker.next_end = 1;
+    worker.highest = 0;
+    worker.lease_ends = Instant{};
+    worker.held_replies.clear();
+    std::vector<std::function<void()>> disconnects;
+    disconnects.swap(worker.disconnects);
+    for (const auto& disconnect : disconnects) disconnect();
+    After(Millis(2000.0 + Pick(2000)), [this, &worker] {
+      worker.is_down = false;
+      ++worker.born;
+      if (Chance(0.5)) worker.id += "'";
+      After(Millis(Pick(1500)),
+            [this, &worker] { m_listings.insert_or_assign(worker.address, ListingOf(worker)); });
+    });
+    // the entry of a worker that has fallen silent is removed later
+    After(Millis(4500), [this, &worker] {
+      if (worker.is_down) m_listings.erase(worker.address);
+    });
+  }
+
+  // A smaller capacity counts a contact timeout and a report interval after the change, which the
+  // store shows within that interval.
+  void Shrink(FleetWorker& worker) {
+    SetCapacity(worker, kCapacity / 2);
+    After(Millis(6000.0 + Pick(6000)), [this, &worker] { SetCapacity(worker, kCapacity); });
+  }
+  void SetCapacity(FleetWorker& worker, std::int64_t capacity) {
+    worker.capacity = capacity;
+    const Duration counts_after =
+        capacity < worker.counted_capacity ? Millis(3000 + 1500) : Duration::zero();
+    After(counts_after, [this, &worker, capacity] {
+      if (worker.capacity == capacity) worker.counted_capacity = capacity;
+    });
+    After(Millis(Pick(1500)), [this, &worker] {
+      if (!worker.is_down) m_listings.insert_or_assign(worker.address, ListingOf(worker));
+    });
+  }
+
+  void KillMember(std::size_t node) {
+    const Address address = m_members[node].node().address();
+    ++m_epochs[node];
+    m_members[node] = MemberListing(NodeId(address, m_members[node].node().incarnation() + 1),
+                                    m_members[node].zone(), m_members[node].milli_cores());
+    m_nodes[node] = MakeNode(node);
+    m_resume_at[node] = m_now;
+    for (std::size_t i = 0; i < m_node_count; ++i) {
+      if (i == node) continue;
+      if (!IsCut(i, node)) Feed(i, LinkDown(address));
+      After(Millis(Pick(1500)), [this, i] { Feed(i, MembersListed(m_members)); });
+    }
+    Feed(node, WorkersListed(CurrentListings()));
+    Feed(node, MembersListed(m_members));
+    // callers see a broken connection
+    std::vector<JobKey> broken;
+    for (auto item = m_tokens.begin(); item != m_tokens.end();) {
+      if (m_token_nodes.at(item->first) == node) {
+        broken.push_back(item->second);
+        item = m_tokens.erase(item);
+      } else {
+        ++item;
+      }
+    }
+    for (const JobKey key : broken) {
+      m_jobs.at(key).other_attempts = true;
+      --m_jobs.at(key).open;
+      After(Millis(1300), [this, key] { Submit(key); });
+    }
+  }
+
+  void End(FleetWorker& worker, TaskKey task, RunEnd run_end) {
+    const std::uint32_t number = worker.running.at(task).number;
+    worker.running.erase(task);
+    worker.highest_ended[task] = std::max(worker.highest_ended[task], number);
+    worker.ended.emplace_back(worker.next_end++, RunKey(task, number), run_end);
+    std::vector<std::function<void()>> held_replies;
+    held_replies.swap(worker.held_replies);
+    for (const auto& answer : held_replies) answer();
+  }
+
+  void CheckRefusal(JobKey key, const Job& job) {
+    if (job.refused && job.open == 0 && !job.other_attempts && job.started) {
+      violations.Add("refused: job " + std::to_string(key) + " has run");
+    }
+  }
+
+  void Submit(JobKey key) {
+    Job& job = m_jobs[key];
+    if (!job.order) {
+      const StepSpec step(static_cast<std::uint32_t>(1 + Pick(4)),
+                          Resources(static_cast<std::int64_t>(2000 * (1 + Pick(5))), 64, 0),
+                          Millis(30.0 + Pick(Chance(0.2) ? 900 : 200)), {}, "", "", 0);
+      job.order = std::make_shared<const JobOrder>(
+          key, "q", kService, std::make_shared<const std::string>("p"), std::vector<StepSpec>{step},
+          0, 3, Millis(400), AnswerTimeout());
+      if (m_faults.crashing_share > 0 && Chance(m_faults.crashing_share)) {
+        job.crashing_task = static_cast<std::uint32_t>(Pick(step.count()));
+      }
+    }
+    ++job.tries;
+    ++job.open;
+    const std::size_t node = Pick(m_node_count);
+    const RequestToken token = ++m_token;
+    m_tokens[token] = key;
+    m_token_nodes[token] = node;
+    Feed(node, SubmitJobOrder(token, job.order));
+    if (!Chance(0.1)) return;
+    // some callers disconnect before the answer
+    After(Millis(Pick(1500)), [this, node, token] {
+      const auto found = m_tokens.find(token);
+      if (found == m_tokens.end()) return;
+      const JobKey left = found->second;
+      m_tokens.erase(found);
+      m_jobs.at(left).other_attempts = true;
+      m_jobs.at(left).caller_left = true;
+      Feed(node, CallerDisconnected(token));
+    });
+  }
+
+  void Execute(std::size_t /*node*/, const AnswerCaller& answer) {
+    const auto found = m_tokens.find(answer.token());
+    if (found == m_tokens.end()) return;
+    Job& job = m_jobs.at(found->second);
+    const JobKey key = found->second;
+    m_tokens.erase(found);
+    --job.open;
+    switch (answer.verdict()) {
+      case JobVerdict::kRefused:
+        job.refused = true;
+        ++refused;
+        CheckRefusal(key, job);
+        if (m_faults.Any()) After(Millis(1300), [this, key] { Submit(key); });
+        return;
+      case JobVerdict::kCompleted:
+        job.other_attempts = true;
+        job.completed = true;
+        ++completed;
+        if (job.done.size() < job.order->steps()[0].count()) {
+          violations.Add("partial: job " + std::to_string(key));
+        }
+        return;
+      case JobVerdict::kFailed:
+        job.other_attempts = true;
+        if (job.crashing_task) {
+          ++failed_crashing;
+        } else {
+          violations.Add("given up falsely: job " + std::to_string(key) + " at " +
+                         std::to_string(ToMillis(m_now - kStart)));
+        }
+        return;
+      default:
+        job.other_attempts = true;
+        if (job.tries < 3 || m_faults.Any()) After(Millis(1300), [this, key] { Submit(key); });
+    }
+  }
+
+  std::mt19937 m_random;
+  const FleetFaults m_faults;
+  const std::size_t m_zones;
+  std::vector<MemberListing> m_members;
+  // how often each member was started again
+  std::vector<std::uint32_t> m_epochs;
+  std::map<std::size_t, Instant> m_zone_cut_until;
+  // the entries in the platform's store
+  std::map<Address, WorkerListing> m_listings;
+  std::map<RequestToken, std::size_t> m_token_nodes;
+  Instant m_now = kStart;
+  std::multimap<Instant, std::function<void()>> m_events;
+  std::size_t m_node_count = 0;
+  std::vector<std::unique_ptr<DispatchNode>> m_nodes;
+  // when each stalled node resumes
+  std::vector<Instant> m_resume_at;
+  std::map<std::pair<std::size_t, std::size_t>, Instant> m_link_times;
+  std::map<Address, FleetWorker> m_workers;
+  std::map<JobKey, Job> m_jobs;
+  std::map<RequestToken, JobKey> m_tokens;
+  RequestToken m_token = 0;
+  std::uint64_t m_serial = 0;
+};
+
+}  // namespace sapphireflow::simulation
+
+#endif  // SAPPHIREFLOW_TESTS_UNIT_FLEET_SIMULATION_H_
--- /dev/null
+++ b/tests/unit/unit-crashing_tasks.cpp
@@ -0,0 +1,86 @@
+// Tasks that crash each worker that starts them are given up after a bounded number of crashes,
+// whoever is killed, cut off or submits again in between; all other tasks are served.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "fleet_simulation.h"
+
+using namespace sapphireflow;
+using simulation::Fleet;
+using simulation::FleetFaults;
+
+namespace {
+
+void RunSeeds(std::uint32_t first, std::uint32_t count, std::size_t zones,
+              const FleetFaults& faults) {
+  for (std::uint32_t seed = first; seed < first + count; ++seed) {
+    Fleet fleet(seed, zones, faults);
+    fleet.Run();
+    INFO("seed " << seed << ", zones " << zones << ", crashes " << fleet.crashes);
+    for (const std::string& violation : fleet.violations.list) {
+      INFO(violation);
+      CHECK(violation.empty());
+    }
+    CHECK(fleet.Unserved() == 0);
+  }
+}
+
+FleetFaults CrashingTasks() {
+  FleetFaults faults;
+  faults.crashing_share = 0.03;
+  faults.answer_timeout_ms = 12000;
+  return faults;
+}
+
+}  // namespace
+
+TEST_CASE("a task that crashes its workers is given up within its caller's long deadline",
+          "[!mayfail]") {
+  RunSeeds(1, 8, 1, CrashingTasks());
+  RunSeeds(1, 4, 3, CrashingTasks());
+}
+
+TEST_CASE("a task that crashes its workers late is given up as well", "[!mayfail]") {
+  FleetFaults faults = CrashingTasks();
+  faults.max_fuse_ms = 400;
+  RunSeeds(100, 8, 1, faults);
+  RunSeeds(100, 4, 2, faults);
+}
+
+TEST_CASE("crashes are remembered when a job is submitted again to another member", "[!mayfail]") {
+  FleetFaults faults = CrashingTasks();
+  faults.answer_timeout_ms = 1500;
+  RunSeeds(200, 8, 1, faults);
+  RunSeeds(200, 4, 3, faults);
+}
+
+TEST_CASE("crashes are remembered when coordinators and owners are killed between them",
+          "[!mayfail]") {
+  FleetFaults faults = CrashingTasks();
+  faults.member_kills = 6;
+  RunSeeds(300, 8, 1, faults);
+  RunSeeds(300, 4, 3, faults);
+}
+
+TEST_CASE("crashes are remembered across zones that are cut off", "[!mayfail]") {
+  FleetFaults faults = CrashingTasks();
+  faults.zone_cuts = 3;
+  RunSeeds(400, 6, 2, faults);
+  RunSeeds(400, 6, 3, faults);
+}
+
+TEST_CASE("tasks whose workers are only cut off are not given up") {
+  FleetFaults faults;
+  faults.answer_timeout_ms = 12000;
+  faults.worker_cuts = 12;
+  RunSeeds(500, 8, 1, faults);
+  RunSeeds(500, 4, 3, faults);
+}
+
+TEST_CASE("a capacity that shrinks is kept, also where it is known through relays only") {
+  FleetFaults faults;
+  faults.answer_timeout_ms = 12000;
+  faults.shrinkings = 12;
+  RunSeeds(600, 8, 1, faults);
+  RunSeeds(600, 6, 3, faults);
+}
