Keep a worker's session when a list names an earlier process of it

What callers saw: a task ran on two workers at once (TWICE), after its worker had crashed once and come back under the same id. Cause: the list of workers that a VM follows may come from another relay, or be read late, and name the process before the current one. The owner took any other start time for the worker's next incarnation, and reported its running tasks as ended. Class: old knowledge that replaces newer. Change: a list ends a session only if it names a later process. A session whose process is known to have ended takes any other one, so that a worker's clock that was set back does not keep it out.

--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -79,8 +79,12 @@
         found != assigned_listings.end() &&
         found->second->process_start_ms() == owned.session.listing().process_start_ms() &&
         found->second->address() == owned.session.listing().address();
-    if (same_incarnation) {
-      owned.session.UpdateListing(*found->second);
+    // a list from another relay may be older than the one before
+    const bool earlier_incarnation =
+        found != assigned_listings.end() && owned.session.phase() != Session::Phase::kTerminated &&
+        found->second->process_start_ms() < owned.session.listing().process_start_ms();
+    if (same_incarnation || earlier_incarnation) {
+      if (same_incarnation) owned.session.UpdateListing(*found->second);
       assigned_listings.erase(found);
       ++item;
       continue;
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -258,6 +258,20 @@
   CHECK(owner.ReportOf(Run(0))->end() == RunEnd::kAbsent);
 }
 
+// A list from another relay named the process before the current one: its runs were reported as
+// ended, and started elsewhere beside it.
+TEST_CASE("a list that names an earlier incarnation of a worker does not end its runs") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.Place({0});
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.now += Millis(10);
+  owner.AnswerRenewal({Run(0)}, {});
+  const std::size_t reports = owner.reports.size();
+  owner.Feed(WorkerAssignment({Listing("w1", 10, false, 0)}, {}));
+  CHECK(owner.reports.size() == reports);
+}
+
 TEST_CASE("waiting runs of a lost coordinator are dropped, and its running ones are stopped") {
   OwnerHarness owner;
   owner.AcquireWorkers({Listing("w1", 10)});
