--- a/include/sapphireflow/recovery/crash_ledger.h
+++ b/include/sapphireflow/recovery/crash_ledger.h
@@ -41,7 +41,8 @@
   /// and keeps the list for the confinement of queues.
   void OnListings(const WorkerListings& listings);
   void DropExpired(Instant now);
-  /// @return all records, for a VM that may have missed some. Complexity: linear in the losses.
+  /// @return the newest records, for a VM that may have missed some. Complexity: linear in the
+  /// losses.
   std::vector<LossRecord> Snapshot() const;
 
   TaskStanding StandingOf(const TaskKey& task, Instant now) const override;
--- a/src/recovery/crash_ledger.cc
+++ b/src/recovery/crash_ledger.cc
@@ -13,6 +13,8 @@
 // Longer than a caller goes on submitting a job.
 constexpr Duration kRetention = std::chrono::minutes(10);
 constexpr std::size_t kMaxEntries = 5000;
+// Records in one message, some 100 bytes each.
+constexpr std::size_t kMaxSnapshot = 200;
 // A worker that has crashed is back within some seconds. One that is still missing then may be cut
 // off or gone, and its tasks are no longer held back.
 constexpr Duration kMaxResolveTime = std::chrono::seconds(10);
@@ -201,10 +203,18 @@
   std::vector<LossRecord> records;
   if (m_size == 0) return records;
   std::lock_guard<std::mutex> lock(m_mutex);
-  records.reserve(m_entries.size());
-  for (const auto& [incarnation, entry] : m_entries) {
-    records.push_back(RecordOf(incarnation, entry));
+  std::vector<Entries::const_iterator> newest;
+  newest.reserve(m_entries.size());
+  for (auto item = m_entries.begin(); item != m_entries.end(); ++item) newest.push_back(item);
+  if (newest.size() > kMaxSnapshot) {
+    std::nth_element(newest.begin(), newest.begin() + kMaxSnapshot, newest.end(),
+                     [](const auto& a, const auto& b) {
+                       return a->second.suspected_at > b->second.suspected_at;
+                     });
+    newest.resize(kMaxSnapshot);
   }
+  records.reserve(newest.size());
+  for (const auto& item : newest) records.push_back(RecordOf(item->first, item->second));
   return records;
 }
 
--- a/tests/unit/unit-crash_ledger.cpp
+++ b/tests/unit/unit-crash_ledger.cpp
@@ -151,6 +151,16 @@
   CHECK(selected.size() == 2);
 }
 
+TEST_CASE("a snapshot has a limited number of records, the newest") {
+  CrashLedger ledger;
+  for (std::uint32_t ip = 1; ip <= 300; ++ip) {
+    ledger.Record(Crash(ip, LossRole::kPresent, ip), kNow + Seconds(static_cast<int>(ip)));
+  }
+  const std::vector<LossRecord> records = ledger.Snapshot();
+  REQUIRE(records.size() == 200);
+  for (const LossRecord& record : records) CHECK(record.incarnation().address().ip() > 100);
+}
+
 TEST_CASE("ledgers that are told the same agree, in whatever order and however often") {
   CHECK(rc::check("ledgers agree", [] {
     std::vector<LossRecord> records;
