--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -71,6 +71,7 @@
   std::int64_t capacity = kCapacity;
   // the largest capacity that a start may still count on; follows a smaller one late
   std::int64_t counted_capacity = kCapacity;
+  std::uint32_t capacity_changes = 0;
   FencingToken highest = 0;
   std::map<TaskKey, RunningRun> running;
   std::map<TaskKey, std::uint32_t> highest_ended;
@@ -521,10 +522,12 @@
   }
   void SetCapacity(FleetWorker& worker, std::int64_t capacity) {
     worker.capacity = capacity;
+    const std::uint32_t change = ++worker.capacity_changes;
     const Duration counts_after =
         capacity < worker.counted_capacity ? Millis(3000 + 1500) : Duration::zero();
-    After(counts_after, [this, &worker, capacity] {
-      if (worker.capacity == capacity) worker.counted_capacity = capacity;
+    After(counts_after, [&worker, capacity, change] {
+      // a later change counts from its own time
+      if (worker.capacity_changes == change) worker.counted_capacity = capacity;
     });
     After(Millis(Pick(1500)), [this, &worker] {
       if (!worker.is_down) m_listings.insert_or_assign(worker.address, ListingOf(worker));
--- a/tests/unit/unit-crashing_tasks.cpp
+++ b/tests/unit/unit-crashing_tasks.cpp
@@ -140,3 +140,14 @@
   RunSeeds(7000, 40, 2, faults);
   RunSeeds(7000, 40, 3, faults);
 }
+
+TEST_CASE("capacities that shrink beside kills and cuts, over many seeds", "[.crashes]") {
+  FleetFaults faults = ManySeeds();
+  faults.crashing_share = 0;
+  faults.shrinkings = 16;
+  faults.member_kills = 6;
+  faults.zone_cuts = 2;
+  faults.worker_cuts = 4;
+  RunSeeds(8000, 60, 1, faults);
+  RunSeeds(8000, 60, 3, faults);
+}
