--- a/src/recovery/crash_ledger.cc
+++ b/src/recovery/crash_ledger.cc
@@ -30,6 +30,7 @@
 // A queue is crash-prone while it has at least this many recent losses, and half of all of them.
 constexpr std::size_t kLossesOfProneQueue = 3;
 constexpr Duration kProneWindow = std::chrono::seconds(5);
+
 int WeightOf(LossRole role) {
   switch (role) {
     case LossRole::kPresent:
