--- a/include/sapphireflow/transport/http_client.h
+++ b/include/sapphireflow/transport/http_client.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "sapphireflow/transport/http.h"
@@ -24,6 +25,8 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   void Start(const HttpCall& call, Done done);
+  /// @return `text` with all that has a meaning in a query percent-encoded.
+  static std::string EscapeQuery(const std::string& text);
   /// @brief Makes a call and blocks until it has completed.
   HttpResult CallAndWait(const HttpCall& call);
   /// @brief Stops the threads. Calls in flight are aborted and complete with `kLost`, or `kNotSent`
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <future>
 #include <mutex>
+#include <new>
 #include <set>
 #include <string>
 #include <thread>
@@ -265,6 +266,14 @@
   m_loops[index]->Add(call, std::move(done));
 }
 
+std::string HttpClient::EscapeQuery(const std::string& text) {
+  InitOnce();
+  const std::unique_ptr<char, decltype(&curl_free)> escaped(
+      curl_easy_escape(nullptr, text.c_str(), static_cast<int>(text.size())), &curl_free);
+  if (!escaped) throw std::bad_alloc();
+  return escaped.get();
+}
+
 HttpResult HttpClient::CallAndWait(const HttpCall& call) {
   std::promise<HttpResult> promise;
   Start(call, [&promise](const HttpResult& result) { promise.set_value(result); });
--- /dev/null
+++ b/tests/unit/unit-odd_entries.cpp
@@ -0,0 +1,259 @@
+// Entries of the store that another writer left: whatever one of them holds, it names no worker and
+// the others hold.
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kv_store.h"
+#include "sapphireflow/transport/http_client.h"
+#include "sapphireflow/transport/http_server.h"
+#include "wire_format.h"
+
+using namespace sapphireflow;
+using namespace sapphireflow::platform;
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMegabyte = 1U << 20;
+constexpr std::size_t kMaxLoggedBytes = 1000;
+constexpr std::uint16_t kStorePort = 7921;
+constexpr std::uint32_t kLoopback = 0x7f000001;
+constexpr std::chrono::seconds kWaitLimit(10);
+
+Json GoodEntry() {
+  return {{"backend", "huvo11a"},
+          {"address", "10.128.0.9:8080"},
+          {"zone", "celaya"},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"cold_remaining_ms", 0},
+          {"capacity", {{"cpu", 16000}, {"mem_mb", 32768}, {"gpu", 1}}},
+          {"labels", {"a", "r1-3"}},
+          {"clock_ms", 482113},
+          {"sequence", 4},
+          {"born", 1700000000123}};
+}
+
+// the entry as text with one field, named by a JSON pointer, replaced by any text
+std::string EntryWith(const std::string& pointer, const std::string& text) {
+  constexpr char kPlaceholder[] = "\"PLACEHOLDER\"";
+  Json json = GoodEntry();
+  json[Json::json_pointer(pointer)] = "PLACEHOLDER";
+  std::string entry = json.dump();
+  return entry.replace(entry.find(kPlaceholder), sizeof kPlaceholder - 1, text);
+}
+
+std::string Repeat(const std::string& pattern, std::size_t bytes) {
+  std::string text;
+  text.reserve(bytes + pattern.size());
+  while (text.size() < bytes) text += pattern;
+  return text;
+}
+
+std::string Nested(std::size_t bytes) { return Repeat("[", bytes / 2) + Repeat("]", bytes / 2); }
+
+bool NamesWorker(const std::string& key, const std::string& value) {
+  return std::holds_alternative<WorkerListing>(DecodeWorker(StoreItem(key, value)));
+}
+
+template <class T>
+void CheckIsRefused(const Result<T>& read) {
+  REQUIRE(std::holds_alternative<Error>(read));
+  const std::string reason = std::get<Error>(read).message();
+  CHECK(reason.size() <= kMaxLoggedBytes);
+  for (const char c : reason) CHECK((c >= ' ' && c <= '~'));
+}
+
+// base64 of a text; the test's own, so that it does not depend on the code under test
+std::string Base64(const std::string& bytes) {
+  constexpr char kDigits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  for (std::size_t at = 0; at < bytes.size(); at += 3) {
+    std::uint32_t group = 0;
+    for (std::size_t i = 0; i < 3; ++i) {
+      group =
+          (group << 8) | (at + i < bytes.size() ? static_cast<unsigned char>(bytes[at + i]) : 0);
+    }
+    for (std::size_t i = 0; i < 4; ++i) {
+      const bool is_padding = at + i > bytes.size();
+      text += is_padding ? '=' : kDigits[(group >> (18 - 6 * i)) & 0x3f];
+    }
+  }
+  return text;
+}
+
+Json Item(const std::string& key, const std::string& value) {
+  return {{"key", key}, {"value", Base64(value)}, {"revision", 1}, {"created", 1}, {"lease", 0}};
+}
+
+std::set<WorkerId> WorkersOf(const std::vector<StoreItem>& items) {
+  std::set<WorkerId> workers;
+  for (const StoreItem& item : items) {
+    const auto read = DecodeWorker(item);
+    if (const auto* listing = std::get_if<WorkerListing>(&read)) workers.insert(listing->id());
+  }
+  return workers;
+}
+
+}  // namespace
+
+TEST_CASE("one item of a page that cannot be read leaves the others listed") {
+  const std::string odd_items[] = {R"({"key":"servers/odd","value":"not base64"})",
+                                   R"({"key":"servers/odd","value":"===="})",
+                                   R"({"key":"servers/odd","value":""})",
+                                   R"({"key":"servers/odd","value":null})",
+                                   R"({"key":"servers/odd","value":7})",
+                                   R"({"key":"servers/odd"})",
+                                   R"({"key":7,"value":"e30="})",
+                                   R"({"value":"e30="})",
+                                   "{}",
+                                   "[]",
+                                   "null",
+                                   "7"};
+  for (const std::string& odd : odd_items) {
+    INFO(odd);
+    const std::string body = R"({"items":[)" + Item("servers/a", GoodEntry().dump()).dump() + "," +
+                             odd + "," + Item("servers/z", GoodEntry().dump()).dump() +
+                             R"(],"truncated":false,"store_revision":9})";
+    const auto read = DecodePage(body);
+    REQUIRE(std::holds_alternative<StorePage>(read));
+    CHECK(WorkersOf(std::get<StorePage>(read).items()) == std::set<WorkerId>{"a", "z"});
+  }
+}
+
+TEST_CASE("one event of a watch that cannot be read leaves the others in force") {
+  for (const char* odd :
+       {R"({"key":"servers/odd","value":"not base64"})", R"({"key":"servers/odd"})",
+        R"({"key":"servers/odd","value":{}})", R"({"key":"servers/odd","deleted":"yes"})",
+        R"({"value":"e30="})", R"({"deleted":true})", "[]", "null"}) {
+    INFO(odd);
+    const auto read =
+        DecodeEvents(R"({"events":[{"key":"servers/a","deleted":true},)" + std::string(odd) + "," +
+                     Item("servers/z", GoodEntry().dump()).dump() + R"(],"store_revision":9})");
+    REQUIRE(std::holds_alternative<StoreEvents>(read));
+    const auto& events = std::get<StoreEvents>(read).events();
+    REQUIRE(events.size() >= 2);
+    CHECK(events.front() == StoreEvent("servers/a", std::nullopt));
+    CHECK(events.back().key() == "servers/z");
+    if (events.size() == 3) {
+      CHECK(events[1].key() == "servers/odd");
+      CHECK_FALSE(NamesWorker(events[1].key(), events[1].value().value_or("")));
+    }
+  }
+}
+
+namespace {
+
+// serves a range of the store one item a page; records the keys after which pages were asked for
+class PagedStore : public HttpHandler {
+ public:
+  explicit PagedStore(std::vector<Json> items) : m_items(std::move(items)) {}
+  void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) override {
+    const std::string after = Unescape(request.Parameter("after"));
+    {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      m_asked_after.push_back(after);
+    }
+    std::size_t at = 0;
+    while (at < m_items.size() && m_items[at]["key"].get<std::string>() <= after) ++at;
+    if (repeats_first_page) at = 0;
+    Json page = Json::array();
+    if (at < m_items.size()) page.push_back(m_items[at]);
+    responder->Respond(HttpResponse(
+        200,
+        Json{{"items", page}, {"truncated", at + 1 < m_items.size()}, {"store_revision", 9}}.dump(),
+        "application/json"));
+  }
+  std::size_t pages() const {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_asked_after.size();
+  }
+  bool repeats_first_page = false;
+
+ private:
+  static std::string Unescape(const std::string& text) {
+    std::string plain;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+      const bool escaped = text[i] == '%' && i + 2 < text.size();
+      plain += escaped ? static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16)) : text[i];
+      if (escaped) i += 2;
+    }
+    return plain;
+  }
+  const std::vector<Json> m_items;
+  mutable std::mutex m_mutex;
+  std::vector<std::string> m_asked_after;
+};
+
+class RecordingLog : public EventLog {
+ public:
+  void Write(const LogEvent& event) override {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_lines.push_back(event.Line());
+  }
+  std::vector<std::string> lines() const {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_lines;
+  }
+
+ private:
+  mutable std::mutex m_mutex;
+  std::vector<std::string> m_lines;
+};
+
+// reads the workers from a store; fails the test if there is no result in time
+Result<VersionedValue<WorkerListings>> ReadWorkersFrom(PagedStore& handler, EventLog& log) {
+  HttpServer server(Address(kLoopback, kStorePort), 1, handler);
+  REQUIRE_FALSE(server.Start());
+  HttpClient client(1);
+  KvStore store(Address(kLoopback, kStorePort), client, log);
+  auto result = std::make_shared<std::promise<Result<VersionedValue<WorkerListings>>>>();
+  auto future = result->get_future();
+  store.ReadWorkers(
+      [result](const Result<VersionedValue<WorkerListings>>& read) { result->set_value(read); });
+  const bool in_time = future.wait_for(kWaitLimit) == std::future_status::ready;
+  client.Stop();
+  server.Stop();
+  REQUIRE(in_time);
+  return future.get();
+}
+
+}  // namespace
+
+TEST_CASE("a page that ends with an odd key is followed by the next one") {
+  const std::string good = GoodEntry().dump();
+  PagedStore handler({Item("servers/a", good), Item("servers/b c&prefix=x#%41+\xc3\xa4", good),
+                      Item("servers/d\ne", "{}"), Item("servers/z", good)});
+  RecordingLog log;
+  const auto read = ReadWorkersFrom(handler, log);
+  REQUIRE(std::holds_alternative<VersionedValue<WorkerListings>>(read));
+  std::set<WorkerId> ids;
+  for (const auto& listing : std::get<VersionedValue<WorkerListings>>(read).value()) {
+    ids.insert(listing.id());
+  }
+  CHECK(ids == std::set<WorkerId>{"a", "z"});
+  CHECK(handler.pages() == 4);
+  CHECK(log.lines().size() == 2);
+  for (const std::string& line : log.lines()) {
+    CHECK(line.find('\n') == std::string::npos);
+    CHECK(line.size() <= kMaxLoggedBytes);
+  }
+}
+
+TEST_CASE("a store that repeats a page is not read forever") {
+  PagedStore handler({Item("servers/a", GoodEntry().dump()), Item("servers/b", "{}")});
+  handler.repeats_first_page = true;
+  RecordingLog log;
+  CHECK(std::holds_alternative<Error>(ReadWorkersFrom(handler, log)));
+  CHECK(handler.pages() == 2);
+}
