--- a/src/codec/caller_bodies.cc
+++ b/src/codec/caller_bodies.cc
@@ -115,7 +115,8 @@
 }
 
 Result<JobSpec> DecodeSubmission(const std::string& body, Instant now) {
-  const Json json = Json::parse(body, nullptr, false);
+  const bool is_bounded = detail::IsJsonNestingBounded(body);
+  const Json json = is_bounded ? Json::parse(body, nullptr, false) : Json();
   if (!json.is_object()) return Error(ErrorId::kMalformedRequest, "the body is not a JSON object");
   SubmissionReader reader;
   const std::string team = reader.Text(json, "", "team");
--- a/tests/unit/unit-odd_entries.cpp
+++ b/tests/unit/unit-odd_entries.cpp
@@ -152,6 +152,42 @@
   }
 }
 
+// A megabyte of nesting took 100 MB of memory while it was parsed.
+TEST_CASE("JSON that nests too deep is refused wherever it comes from") {
+  const std::string values[] = {
+      Repeat("[", kMegabyte),
+      Nested(kMegabyte),
+      Repeat("{\"a\":", kMegabyte),
+      EntryWith("/version", Nested(kMegabyte)),
+      EntryWith("/extra", Nested(kMegabyte)),
+      EntryWith("/extra", "\"\\\\\\\"" + Repeat("[", 100) + "\",\"b\":" + Nested(kMegabyte))};
+  for (const std::string& value : values) {
+    const auto start = std::chrono::steady_clock::now();
+    const auto worker = DecodeWorker(StoreItem("servers/w", value));
+    CheckIsRefused(worker);
+    CHECK(std::get<Error>(worker).message() == "the JSON text nests too deep");
+    CheckIsRefused(DecodeMember(StoreItem("members/m", value)));
+    CheckIsRefused(DecodeConfiguration(value));
+    CheckIsRefused(DecodeReport(value));
+    CheckIsRefused(DecodePage(value));
+    CheckIsRefused(DecodeEvents(value));
+    CheckIsRefused(DecodeSubmission(1, value));
+    CHECK(DecodeRefusal(value) == WorkerCallResult(CallOutcome::kUnknown, 0));
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(1));
+  }
+  CHECK(NamesWorker("servers/w", EntryWith("/extra", "{\"a\":[[\"" + Repeat("[", 200) + "\"]]}")));
+}
+
+// The reason quoted the text up to the fault: a megabyte in each line of the log.
+TEST_CASE("the reason why an entry cannot be read is short and printable") {
+  for (const std::string& value :
+       {"\"" + std::string(kMegabyte, 'x') + "\xff", std::string("\xff\xfe\x00\x01", 4),
+        EntryWith("/state", "\"" + std::string(kMegabyte, 'x') + "\""),
+        EntryWith("/state", "\"\xc3\xa4\\n\""), std::string(kMegabyte, '1')}) {
+    CheckIsRefused(DecodeWorker(StoreItem("servers/w", value)));
+  }
+}
+
 namespace {
 
 // serves a range of the store one item a page; records the keys after which pages were asked for
