Accept only plausible entries of workers

What callers saw: an entry that names no worker counted as one. A cpu of 2^64-1 was read as -1, one near 2^63 or 1e300 as the largest number, whose sums with other capacities overflow; "true" was the number 1; "born" could be negative or in the far future; "slots" and "version" could be anything; an id could hold line breaks, which went into a header field of requests to workers as they were; 100,000 labels were passed on to every member; a multicast address was called.

Change: FindFault (model/worker_listing.h) states the limits of a listing, for any front end; DecodeWorker checks it, and reads numbers only from numbers between 0 and 2^53. Fields that are not used must have their type if they are present.

--- a/include/sapphireflow/model/address.h
+++ b/include/sapphireflow/model/address.h
@@ -37,6 +37,9 @@
   /// @brief The IPv4 address; the first octet is the most significant byte.
   std::uint32_t ip() const { return m_ip; }
   std::uint16_t port() const { return m_port; }
+  /// @brief Whether a process can listen there: neither of the network `0.0.0.0/8` nor multicast,
+  /// reserved or broadcast.
+  bool IsUnicast() const;
   std::string host() const;
   std::string text() const;
   /// @brief IP and port packed into one number, unique for each address.
--- a/include/sapphireflow/model/job_order.h
+++ b/include/sapphireflow/model/job_order.h
@@ -17,6 +17,9 @@
 /// @brief An amount of CPU, memory and accelerators: a capacity or a requirement.
 class Resources : public Comparable<Resources> {
  public:
+  /// @brief Largest plausible amount, in the unit of each dimension: sums over all workers of a
+  /// fleet are far from overflowing.
+  static constexpr std::int64_t kMaxAmount = 1'000'000'000'000;
   Resources() = default;
   Resources(std::int64_t milli_cores, std::int64_t memory_mb, std::int64_t accelerators)
       : m_milli_cores(milli_cores), m_memory_mb(memory_mb), m_accelerators(accelerators) {}
--- a/include/sapphireflow/model/worker_listing.h
+++ b/include/sapphireflow/model/worker_listing.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -64,6 +65,17 @@
 
 using WorkerListings = std::vector<WorkerListing>;
 
+/// @brief Longest id, service, zone or label of a worker.
+constexpr std::size_t kMaxWorkerNameBytes = 200;
+constexpr std::size_t kMaxWorkerLabels = 64;
+/// @brief Latest plausible start of a worker process, Unix milliseconds: the start of 2100.
+constexpr std::int64_t kMaxProcessStartMs = 4'102'444'800'000;
+
+/// @brief Checks a listing that was made from data of another writer: ids are visible ASCII
+/// characters, since they are sent in header fields; names and amounts are within the limits above.
+/// @return why it cannot describe a worker; empty if it can. Complexity: linear.
+std::optional<std::string> FindFault(const WorkerListing& listing);
+
 /// @brief How a run ended.
 enum class RunEnd {
   kDone,
--- a/src/model/address.cc
+++ b/src/model/address.cc
@@ -42,6 +42,13 @@
   return Address(ip, static_cast<std::uint16_t>(*port));
 }
 
+bool Address::IsUnicast() const {
+  constexpr int kFirstOctetShift = 24;
+  constexpr std::uint32_t kFirstMulticastOctet = 224;
+  const std::uint32_t first_octet = m_ip >> kFirstOctetShift;
+  return first_octet > 0 && first_octet < kFirstMulticastOctet;
+}
+
 std::string Address::host() const {
   std::string text;
   for (int shift = 24; shift >= 0; shift -= 8) {
--- a/tests/unit/unit-odd_entries.cpp
+++ b/tests/unit/unit-odd_entries.cpp
@@ -1,5 +1,7 @@
 // Entries of the store that another writer left: whatever one of them holds, it names no worker and
 // the others hold.
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <future>
@@ -12,6 +14,7 @@
 #include <vector>
 
 #include "kv_store.h"
+#include "sapphireflow/codec/dispatch_codec.h"
 #include "sapphireflow/transport/http_client.h"
 #include "sapphireflow/transport/http_server.h"
 #include "wire_format.h"
@@ -152,6 +155,60 @@
   }
 }
 
+TEST_CASE("a worker's entry with a number out of its range names no worker") {
+  REQUIRE(NamesWorker("servers/w", GoodEntry().dump()));
+  const std::string fields[] = {"/capacity/cpu",      "/capacity/mem_mb", "/capacity/gpu", "/slots",
+                                "/cold_remaining_ms", "/sequence",        "/born"};
+  const std::string values[] = {"-1",
+                                "-9223372036854775808",
+                                "9223372036854775807",
+                                "18446744073709551615",
+                                "99999999999999999999999",
+                                "1e300",
+                                "-1e300",
+                                "1e400",
+                                "true",
+                                "\"8\"",
+                                "null",
+                                "[]",
+                                "{}"};
+  for (const std::string& field : fields) {
+    for (const std::string& value : values) {
+      INFO(field << " " << value);
+      CHECK_FALSE(NamesWorker("servers/w", EntryWith(field, value)));
+    }
+  }
+}
+
+TEST_CASE("a worker's entry with a name or address that cannot be one names no worker") {
+  const std::string long_name = '"' + std::string(300, 'x') + '"';
+  for (const char* field : {"/backend", "/zone", "/version", "/state"}) {
+    for (const std::string& value :
+         {std::string("7"), std::string("null"), std::string("[]"), std::string("{}"),
+          std::string("\"\\ud800\""), std::string("\"\xff\""), long_name}) {
+      INFO(field << " " << value);
+      CHECK_FALSE(NamesWorker("servers/w", EntryWith(field, value)));
+    }
+  }
+  for (const char* address :
+       {"\"\"", "\"10.128.0.9\"", "\"10.128.0.9:0\"", "\"10.128.0.9:65536\"", "\"10.128.0.9:-1\"",
+        "\"10.128.0.9:18446744073709551697\"", "\"256.1.1.1:80\"", "\"10.128.0.9:80 \"",
+        "\"0.0.0.0:80\"", "\"224.0.0.1:80\"", "\"255.255.255.255:80\"", "7"}) {
+    INFO(address);
+    CHECK_FALSE(NamesWorker("servers/w", EntryWith("/address", address)));
+  }
+  const std::string many_labels = "[\"a\"" + Repeat(",\"a\"", 100000) + "]";
+  for (const std::string& labels : {std::string("\"a\""), std::string("[7]"), std::string("{}"),
+                                    "[" + long_name + "]", many_labels}) {
+    CHECK_FALSE(NamesWorker("servers/w", EntryWith("/labels", labels)));
+  }
+  for (const std::string& id :
+       {std::string(), std::string("a b"), std::string("a\r\nHost: b"), std::string("\xc3\xa4"),
+        std::string("a\0b", 3), std::string(300, 'x')}) {
+    CHECK_FALSE(NamesWorker("servers/" + id, GoodEntry().dump()));
+  }
+}
+
 // A megabyte of nesting took 100 MB of memory while it was parsed.
 TEST_CASE("JSON that nests too deep is refused wherever it comes from") {
   const std::string values[] = {
@@ -190,6 +247,90 @@
 
 namespace {
 
+std::string OddScalar() {
+  const Json scalars[] = {nullptr,
+                          true,
+                          -1,
+                          0,
+                          65536,
+                          INT64_MAX,
+                          INT64_MIN,
+                          UINT64_MAX,
+                          1e300,
+                          -0.5,
+                          "",
+                          "ready",
+                          "\n",
+                          "10.128.0.9:65536",
+                          "\xc3\xa4",
+                          std::string(300, 'x'),
+                          Json::array(),
+                          Json::object()};
+  const std::string texts[] = {"1e400",    "\"\xff\"", "99999999999999999999", "nul", "\"\\ud800\"",
+                               "[[[[[[[[", Nested(40), Nested(4000),           ""};
+  const auto index = *rc::gen::inRange<std::size_t>(0, std::size(scalars) + std::size(texts));
+  return index < std::size(scalars) ? scalars[index].dump() : texts[index - std::size(scalars)];
+}
+
+// an entry with some fields replaced, removed or cut off
+std::string OddEntry() {
+  Json json = GoodEntry();
+  std::vector<std::string> paths;
+  const Json flat = json.flatten();
+  for (const auto& item : flat.items()) paths.push_back(item.key());
+  paths.insert(paths.end(), {"/capacity", "/labels", "/extra"});
+  std::map<std::string, std::string> replaced;
+  const int changes = *rc::gen::inRange(1, 4);
+  for (int i = 0; i < changes; ++i) {
+    const std::string path = *rc::gen::elementOf(paths);
+    const std::string mark = "MARK" + std::to_string(i);
+    if (path == "/capacity" || path == "/labels" || json.contains(Json::json_pointer(path))) {
+      json[Json::json_pointer(path)] = mark;
+    }
+    replaced["\"" + mark + "\""] = OddScalar();
+    if (path == "/capacity" || path == "/labels") break;
+  }
+  if (*rc::gen::inRange(0, 4) == 0) json.erase(json.begin());
+  std::string text = json.dump();
+  for (const auto& [mark, value] : replaced) {
+    const std::size_t at = text.find(mark);
+    if (at != std::string::npos) text.replace(at, mark.size(), value);
+  }
+  if (*rc::gen::inRange(0, 5) == 0) text.resize(*rc::gen::inRange<std::size_t>(0, text.size()));
+  return *rc::gen::inRange(0, 8) == 0 ? *rc::gen::arbitrary<std::string>() : text;
+}
+
+}  // namespace
+
+TEST_CASE("whatever one entry holds, the others are listed and it stays within the limits") {
+  rc::check("odd entries", [] {
+    const std::string odd = OddEntry();
+    const std::string body = Json{
+        {"items", Json::array({Item("servers/a", GoodEntry().dump()), Item("servers/odd", odd),
+                               Item("servers/z", GoodEntry().dump())})},
+        {"truncated", false},
+        {"store_revision", 9}}.dump();
+    const auto page = DecodePage(body);
+    RC_ASSERT(std::holds_alternative<StorePage>(page));
+    std::set<WorkerId> workers = WorkersOf(std::get<StorePage>(page).items());
+    const bool odd_listed = workers.erase("odd") > 0;
+    RC_ASSERT(workers == (std::set<WorkerId>{"a", "z"}));
+    const auto read = DecodeWorker(StoreItem("servers/odd", odd));
+    RC_ASSERT(odd_listed == std::holds_alternative<WorkerListing>(read));
+    if (!odd_listed) return;
+    const auto& listing = std::get<WorkerListing>(read);
+    RC_ASSERT(!FindFault(listing));
+    // it can be passed on to other members
+    const DispatchMessage update =
+        WorkerListUpdate(NodeId(Address(1, 1), 1), 0, 1, {WorkerChange("odd", listing)});
+    const auto passed_on = DecodeDispatchMessage(EncodeDispatchMessage(update));
+    RC_ASSERT(std::holds_alternative<DispatchMessage>(passed_on));
+    RC_ASSERT(std::get<DispatchMessage>(passed_on) == update);
+  });
+}
+
+namespace {
+
 // serves a range of the store one item a page; records the keys after which pages were asked for
 class PagedStore : public HttpHandler {
  public:
