Cancel the runs of all jobs at an owner with one message at a time

What callers saw: with few workers and many open jobs, jobs of 40 ms waited for a minute while workers were idle. Cause: a run whose start an owner has not reported is cancelled every 100 ms while the owner is silent, and every 200 ms once its job is closing, each in a message of its own. When an owner stalled, the others sent it one message for each waiting run. Change: the cancels that one event causes for the same owner and service travel in one message, after its orders, and the owner answers them with one report. Evidence: the new test failed before, 6 == 1 messages both when the owner is lost and 150 ms later.

--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -2,6 +2,7 @@
 #include "sapphireflow/dispatch/job_shard.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "sapphireflow/dispatch/detail/job_key_text.h"
@@ -19,6 +20,31 @@
 // maximum estimated wait for free capacity, as a share of the answer timeout
 constexpr double kMaxWaitShare = 0.4;
 
+const CancelRuns* CancelOf(const JobEffect& effect) {
+  const auto* to_owner = std::get_if<SendToOwner>(&effect);
+  return to_owner == nullptr ? nullptr : std::get_if<CancelRuns>(&to_owner->message());
+}
+
+// Merges the cancels for the same owner and service into one message, after all orders. They are
+// repeated while the owner does not reply, and its work must not grow with the runs that wait.
+void MergeCancels(const NodeId& self, JobEffects& effects) {
+  const auto first_cancel =
+      std::stable_partition(effects.begin(), effects.end(),
+                            [](const JobEffect& effect) { return CancelOf(effect) == nullptr; });
+  if (std::distance(first_cancel, effects.end()) < 2) return;
+  std::map<std::pair<NodeId, std::string>, std::vector<RunKey>> merged;
+  for (auto item = first_cancel; item != effects.end(); ++item) {
+    const CancelRuns& cancel = *CancelOf(*item);
+    auto& runs = merged[{std::get<SendToOwner>(*item).owner(), cancel.service()}];
+    runs.insert(runs.end(), cancel.runs().begin(), cancel.runs().end());
+  }
+  effects.erase(first_cancel, effects.end());
+  for (auto& [target, runs] : merged) {
+    effects.emplace_back(
+        SendToOwner(target.first, CancelRuns(self, target.second, std::move(runs))));
+  }
+}
+
 }  // namespace
 
 const char* JobVerdictName(JobVerdict verdict) {
@@ -57,6 +83,7 @@
   JobEffects out;
   std::lock_guard<std::mutex> lock(m_mutex);
   std::visit([&](const auto& event) { On(event, in.now(), out); }, in.event());
+  MergeCancels(m_self, out);
   return out;
 }
 
--- a/tests/unit/unit-job_shard.cpp
+++ b/tests/unit/unit-job_shard.cpp
@@ -63,11 +63,11 @@
   }
 
   void Submit(std::vector<StepSpec> steps, RequestToken token = 1,
-              Duration answer_timeout = Millis(1500)) {
-    Feed(SubmitJobOrder(token,
-                        std::make_shared<const JobOrder>(
-                            kJob, "quotes", kService, std::make_shared<const std::string>("p"),
-                            std::move(steps), 1, 2, Millis(200), answer_timeout)));
+              Duration answer_timeout = Millis(1500), JobKey key = kJob) {
+    Feed(
+        SubmitJobOrder(token, std::make_shared<const JobOrder>(
+                                  key, "quotes", kService, std::make_shared<const std::string>("p"),
+                                  std::move(steps), 1, 2, Millis(200), answer_timeout)));
   }
 
   void Report(std::uint32_t step, std::uint32_t index, std::uint32_t number,
@@ -283,6 +283,34 @@
   }
 }
 
+// A stalled owner got a message for each run every 100 ms, and did not catch up with them.
+TEST_CASE("the runs of all jobs at an unreachable owner are cancelled with one message at a time") {
+  Coordinator coordinator;
+  for (JobKey key = 1; key <= 3; ++key) {
+    coordinator.Submit({Step(2)}, key, Millis(12000), key);
+  }
+  REQUIRE(coordinator.Placed().size() == 6);
+  const auto cancelled_runs = [&] {
+    std::size_t runs = 0;
+    for (const SendToOwner& to_owner : coordinator.messages) {
+      if (const auto* cancel = std::get_if<CancelRuns>(&to_owner.message())) {
+        runs += cancel->runs().size();
+      }
+    }
+    return runs;
+  };
+  coordinator.messages.clear();
+  coordinator.Feed(OwnerLost(kOwner));
+  CHECK(coordinator.Count<CancelRuns>() == 1);
+  CHECK(cancelled_runs() == 6);
+
+  coordinator.now += Millis(150);
+  coordinator.messages.clear();
+  coordinator.Feed(JobTick());
+  CHECK(coordinator.Count<CancelRuns>() == 1);
+  CHECK(cancelled_runs() == 6);
+}
+
 TEST_CASE("a run that starts after it was abandoned is stopped") {
   Coordinator node;
   node.Submit({Step(1)}, 1, Millis(4000));
