Pause before a process other than the listed one is asked again

What callers saw: a worker that had restarted under its id, and any worker whose entry states a wrong "born", was asked for its runs again as soon as it had answered, until the list named its new process: one call each round trip, hundreds a second on a local network, on VMs with a quarter of a core.

Cause: the reply with another process start ended the session with the renewal due at once. Where the worker itself refuses the call (421) the owner waits a second for the list.

Change: the same pause of a second. The session cannot hold the worker before the list has changed, and a new listing starts a new session.

--- a/src/ownership/worker_session_replies.cc
+++ b/src/ownership/worker_session_replies.cc
@@ -103,6 +103,7 @@
       if (report.process_start_ms() != 0 && m_listing.process_start_ms() != 0 &&
           report.process_start_ms() != m_listing.process_start_ms()) {
         EndIncarnation("reborn", now, delta);
+        m_renew_after = now + kPauseAfterProcessEnd;
         return;
       }
       m_newest_answered_call = reply.call();
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -302,6 +302,19 @@
   CHECK(owner.losses.empty());
 }
 
+// A worker that had restarted was asked again without a pause until the list named its new process.
+TEST_CASE("a process other than the listed one is not asked again at once") {
+  OwnerHarness owner;
+  owner.Feed(WorkerAssignment({Listing("w1", 10, false, 5)}, {}));
+  REQUIRE(owner.renewals.size() == 1);
+  owner.AnswerRenewal({}, {});
+  owner.Feed(OwnerTick());
+  CHECK(owner.renewals.size() == 1);
+  owner.now += Millis(1000);
+  owner.Feed(OwnerTick());
+  CHECK(owner.renewals.size() == 2);
+}
+
 TEST_CASE("a worker that closes two connections is reported lost with its runs") {
   OwnerHarness owner;
   owner.AcquireWorkers({Listing("w1", 10)});
