Let no unconfirmed entry from the future keep its worker out of use

What callers saw: an entry under the id of a worker with "born" in the future and the address of nobody took the worker out of use for good: the worker's own next entry names an earlier process, and was ignored.

Cause: an owner ignores a listing of an earlier process than the one that it knows, because lists of two relays may be out of order; it did so also for a process that had never answered.

Evidence, before the change: "an entry from the future that nobody answers to does not keep its worker out of use": 0 == 1 starts, 1 failed.

Change: only a process that has answered, or on which runs are known, makes an earlier listing count as old.

Result: the case passes. Not changed: the entry itself ends the session of the process before, as that of a restarted worker does.

--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -87,9 +87,12 @@
         found != assigned_listings.end() &&
         found->second->process_start_ms() == owned.session.listing().process_start_ms() &&
         found->second->address() == owned.session.listing().address();
-    // a list from another relay may be older than the one before
+    // a list from another relay may be older than the one before; but a listing that nobody has
+    // answered to may be wrong
+    const bool is_confirmed = owned.session.answered_at() != Instant{} || owned.session.runs() > 0;
     const bool earlier_incarnation =
-        found != assigned_listings.end() && owned.session.phase() != Session::Phase::kTerminated &&
+        found != assigned_listings.end() && is_confirmed &&
+        owned.session.phase() != Session::Phase::kTerminated &&
         found->second->process_start_ms() < owned.session.listing().process_start_ms();
     if (same_incarnation || earlier_incarnation) {
       if (same_incarnation) owned.session.UpdateListing(*found->second);
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -315,6 +315,18 @@
   CHECK(owner.renewals.size() == 2);
 }
 
+TEST_CASE("an entry from the future that nobody answers to does not keep its worker out of use") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.Feed(WorkerAssignment({Listing("w1", 11, false, kMaxProcessStartMs)}, {}));
+  owner.FailRenewal(CallOutcome::kUnknown);
+  owner.now += Millis(1000);
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.Place({0});
+  REQUIRE(owner.starts.size() == 1);
+  CHECK(owner.starts[0].call().address() == Address(10, 80));
+}
+
 TEST_CASE("a worker that closes two connections is reported lost with its runs") {
   OwnerHarness owner;
   owner.AcquireWorkers({Listing("w1", 10)});
