Let no exception in a callback or timer end the process

What callers saw: an exception that left a callback of the HTTP client, an action of the timer thread or the handling of a list of the store ended the process ("terminate called after throwing"). DispatchRunner caught the ones of decisions only.

Change: the client's loops and the timer thread catch what callbacks throw and report it (callback_failed, timer_failed). The loops of the directory go on with a new read after the usual pause (directory_failed): catching alone would have left the process with its last list for good.

--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "job_http_handler.h"
 #include "kv_store.h"
@@ -62,7 +63,9 @@
   std::signal(SIGPIPE, SIG_IGN);
   const sapphireflow::MonotonicClock clock;
   sapphireflow::BoundedLog log(sink, clock, kLogLimits);
-  sapphireflow::HttpClient http(1);
+  sapphireflow::HttpClient http(1, [&log](const std::string& reason) {
+    log.Write(LogEvent(LogLevel::kError, "callback_failed", {{"why", reason}}));
+  });
   const auto& addresses = settings.addresses();
   sapphireflow::platform::KvStore store(addresses.store(), http, log);
   sapphireflow::platform::WorkerCalls workers(http);
--- a/include/sapphireflow/transport/directory_watch.h
+++ b/include/sapphireflow/transport/directory_watch.h
@@ -3,6 +3,7 @@
 #define SAPPHIREFLOW_TRANSPORT_DIRECTORY_WATCH_H_
 
 #include <atomic>
+#include <functional>
 #include <mutex>
 
 #include "sapphireflow/membership/worker_directory.h"
@@ -50,6 +51,10 @@
   void PublishWorkers();
   void Register();
   void RenewRegistration(std::uint64_t lease);
+  void UseChanges(const WorkerChanges& changes, std::uint64_t revision);
+  using Step = void (DirectoryWatch::*)();
+  // handles a reply of the store; if that throws, logs it and goes on with `retry` after a pause
+  void HandleOrRetry(const std::function<void()>& handle, Step retry);
   void RunAfter(Duration pause, TimerThread::Action action);
   // logs when the store becomes unreachable or reachable; `error` is null after a success
   void UpdateStoreStatus(const Error* error);
--- a/include/sapphireflow/transport/http_client.h
+++ b/include/sapphireflow/transport/http_client.h
@@ -18,8 +18,12 @@
   /// @brief Completion callback. Runs on one of the client's threads and must not block.
   using Done = std::function<void(const HttpResult&)>;
 
+  /// @brief Told of the exceptions that callbacks throw. Runs on the client's threads, must not
+  /// block, and must not throw.
+  using OnFailure = std::function<void(const std::string& reason)>;
+
   /// @param threads number of threads; all calls to one address use the same thread
-  explicit HttpClient(int threads);
+  explicit HttpClient(int threads, OnFailure on_failure = {});
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/include/sapphireflow/transport/timer_thread.h
+++ b/include/sapphireflow/transport/timer_thread.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <string>
 #include <thread>
 
 #include "sapphireflow/transport/clock.h"
@@ -16,7 +17,9 @@
 class TimerThread {
  public:
   using Action = std::function<void()>;
-  explicit TimerThread(const Clock& clock);
+  /// @brief Told of the exceptions that actions throw; must not throw.
+  using OnFailure = std::function<void(const std::string& reason)>;
+  explicit TimerThread(const Clock& clock, OnFailure on_failure = {});
   ~TimerThread();
   TimerThread(const TimerThread&) = delete;
   TimerThread& operator=(const TimerThread&) = delete;
@@ -30,6 +33,7 @@
   void Run();
 
   const Clock& m_clock;
+  const OnFailure m_on_failure;
   std::mutex m_mutex;
   std::condition_variable m_changed;
   // invariant: guarded by m_mutex
--- a/src/transport/directory_watch.cc
+++ b/src/transport/directory_watch.cc
@@ -1,6 +1,7 @@
 // Part of transport: read, watch and registration loops against the platform's store.
 #include "sapphireflow/transport/directory_watch.h"
 
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -57,6 +58,15 @@
   m_timers.At(m_clock.Now() + pause, std::move(action));
 }
 
+void DirectoryWatch::HandleOrRetry(const std::function<void()>& handle, Step retry) {
+  try {
+    handle();
+  } catch (const std::exception& problem) {
+    m_log.Write(LogEvent(LogLevel::kError, "directory_failed", {{"why", problem.what()}}));
+    RunAfter(kRetryDelay, [this, retry] { (this->*retry)(); });
+  }
+}
+
 void DirectoryWatch::UpdateStoreStatus(const Error* error) {
   const bool lost = error != nullptr;
   if (!lost) m_events.Accept(StoreAnswered());
@@ -75,8 +85,12 @@
       RunAfter(kRetryDelay, [this] { ReadConfiguration(); });
       return;
     }
-    m_events.Accept(ConfigurationCopy(reading->value()));
-    WatchConfiguration(reading->revision());
+    HandleOrRetry(
+        [&] {
+          m_events.Accept(ConfigurationCopy(reading->value()));
+          WatchConfiguration(reading->revision());
+        },
+        &DirectoryWatch::ReadConfiguration);
   });
 }
 
@@ -102,10 +116,14 @@
       RunAfter(kRetryDelay, [this] { ReadMembers(); });
       return;
     }
-    m_events.Accept(MembersListed(reading->value()));
-    // the members determine which workers this node owns, so they must be known first
-    if (!m_members_read.exchange(true)) AwaitInterest();
-    WatchMembers(reading->revision());
+    HandleOrRetry(
+        [&] {
+          m_events.Accept(MembersListed(reading->value()));
+          // the members determine which workers this node owns, so they must be known first
+          if (!m_members_read.exchange(true)) AwaitInterest();
+          WatchMembers(reading->revision());
+        },
+        &DirectoryWatch::ReadMembers);
   });
 }
 
@@ -143,13 +161,18 @@
       RunAfter(kRetryDelay, [this] { ReadWorkers(); });
       return;
     }
-    {
-      std::lock_guard<std::mutex> lock(m_mutex);
-      m_workers.ApplySnapshot(reading->value(), m_clock.Now());
-      m_workers_read = true;
-    }
-    PublishWorkers();
-    RunAfter(kWorkersWatchPause, [this, after = reading->revision()] { WatchWorkers(after); });
+    HandleOrRetry(
+        [&] {
+          {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_workers.ApplySnapshot(reading->value(), m_clock.Now());
+            m_workers_read = true;
+          }
+          PublishWorkers();
+          RunAfter(kWorkersWatchPause,
+                   [this, after = reading->revision()] { WatchWorkers(after); });
+        },
+        &DirectoryWatch::ReadWorkers);
   });
 }
 
@@ -160,22 +183,27 @@
                            RunAfter(kRetryDelay, [this] { ReadWorkers(); });
                            return;
                          }
-                         UpdateStoreStatus(nullptr);
-                         if (!changes.empty()) {
-                           {
-                             std::lock_guard<std::mutex> lock(m_mutex);
-                             m_workers.ApplyChanges(changes, m_clock.Now());
-                           }
-                           PublishWorkers();
-                         }
-                         if (!m_interest.ReadsWorkers()) {
-                           AwaitInterest();
-                           return;
-                         }
-                         RunAfter(kWorkersWatchPause, [this, revision] { WatchWorkers(revision); });
+                         HandleOrRetry([&] { UseChanges(changes, revision); },
+                                       &DirectoryWatch::ReadWorkers);
                        });
 }
 
+void DirectoryWatch::UseChanges(const WorkerChanges& changes, std::uint64_t revision) {
+  UpdateStoreStatus(nullptr);
+  if (!changes.empty()) {
+    {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      m_workers.ApplyChanges(changes, m_clock.Now());
+    }
+    PublishWorkers();
+  }
+  if (!m_interest.ReadsWorkers()) {
+    AwaitInterest();
+    return;
+  }
+  RunAfter(kWorkersWatchPause, [this, revision] { WatchWorkers(revision); });
+}
+
 void DirectoryWatch::PublishWorkers() {
   std::optional<WorkerListings> workers;
   std::optional<Instant> expiry;
--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -41,7 +41,10 @@
         m_self(service_options.peers(), NewIncarnation(m_clock.Now())),
         m_listing(m_self, service_options.zone(), service_options.milli_cores()),
         m_node(m_listing, settings),
-        m_timers(m_clock),
+        m_timers(m_clock,
+                 [&log](const std::string& reason) {
+                   log.Write(LogEvent(LogLevel::kError, "timer_failed", {{"why", reason}}));
+                 }),
         m_links(service_options.peers(), kPeerKey, m_listener),
         m_runner(m_node, m_clock, workers, m_links, m_replies, format, metrics, log),
         m_interest(m_node, m_clock),
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <exception>
 #include <future>
 #include <mutex>
 #include <new>
@@ -38,7 +39,8 @@
 /// An event loop: one thread with its multi handle. Calls enter through a queue guarded by a lock.
 class HttpClient::Loop {
  public:
-  Loop() : m_multi(curl_multi_init()) {
+  explicit Loop(OnFailure on_failure)
+      : m_multi(curl_multi_init()), m_on_failure(std::move(on_failure)) {
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxConnections);
     m_thread = std::thread([this] { Run(); });
   }
@@ -60,7 +62,7 @@
         return;
       }
     }
-    done(HttpResult(CallEnd::kNotSent, 0, "the client is stopping"));
+    Complete(done, HttpResult(CallEnd::kNotSent, 0, "the client is stopping"));
   }
 
   void Stop() {
@@ -184,6 +186,15 @@
             disconnected};
   }
 
+  // an exception in a callback must not end the loop, on which all other calls depend
+  void Complete(const Done& done, const HttpResult& result) const {
+    try {
+      done(result);
+    } catch (const std::exception& problem) {
+      if (m_on_failure) m_on_failure(problem.what());
+    }
+  }
+
   void EndTransfer(CURL* easy, CURLcode code) {
     m_extensible.erase(easy);
     auto node = m_running.extract(easy);
@@ -197,7 +208,7 @@
       curl_easy_cleanup(easy);
     }
     curl_slist_free_all(transfer->headers);
-    transfer->done(result);
+    Complete(transfer->done, result);
   }
 
   bool StartQueued() {
@@ -211,7 +222,7 @@
     for (auto& transfer : added) {
       // the caller assumes that the request was sent within its timeout, or not at all
       if (now - transfer->queued_at >= transfer->call.timeout()) {
-        transfer->done(HttpResult(CallEnd::kNotSent, 0, "timed out while queued"));
+        Complete(transfer->done, HttpResult(CallEnd::kNotSent, 0, "timed out while queued"));
       } else {
         StartTransfer(std::move(transfer));
       }
@@ -237,11 +248,12 @@
       added.swap(m_queued_transfers);
     }
     for (auto& transfer : added) {
-      transfer->done(HttpResult(CallEnd::kNotSent, 0, "the client is stopping"));
+      Complete(transfer->done, HttpResult(CallEnd::kNotSent, 0, "the client is stopping"));
     }
   }
 
   CURLM* m_multi;
+  const OnFailure m_on_failure;
   std::mutex m_mutex;
   // guarded by m_mutex
   std::vector<std::unique_ptr<Transfer>> m_queued_transfers;
@@ -254,9 +266,9 @@
   std::thread m_thread;
 };
 
-HttpClient::HttpClient(int threads) {
+HttpClient::HttpClient(int threads, OnFailure on_failure) {
   InitOnce();
-  for (int i = 0; i < threads; ++i) m_loops.push_back(std::make_unique<Loop>());
+  for (int i = 0; i < threads; ++i) m_loops.push_back(std::make_unique<Loop>(on_failure));
 }
 
 HttpClient::~HttpClient() = default;
--- a/src/transport/timer_thread.cc
+++ b/src/transport/timer_thread.cc
@@ -1,11 +1,13 @@
 // Part of transport: the timer thread's queue and loop.
 #include "sapphireflow/transport/timer_thread.h"
 
+#include <exception>
 #include <utility>
 
 namespace sapphireflow {
 
-TimerThread::TimerThread(const Clock& clock) : m_clock(clock), m_thread([this] { Run(); }) {}
+TimerThread::TimerThread(const Clock& clock, OnFailure on_failure)
+    : m_clock(clock), m_on_failure(std::move(on_failure)), m_thread([this] { Run(); }) {}
 
 TimerThread::~TimerThread() { Stop(); }
 
@@ -43,7 +45,12 @@
     const Action action = std::move(m_actions.begin()->second);
     m_actions.erase(m_actions.begin());
     lock.unlock();
-    action();
+    // an exception in an action must not end the thread, on which all other actions depend
+    try {
+      action();
+    } catch (const std::exception& problem) {
+      if (m_on_failure) m_on_failure(problem.what());
+    }
     lock.lock();
   }
 }
--- a/tests/unit/unit-directory_watch.cpp
+++ b/tests/unit/unit-directory_watch.cpp
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
+#include <future>
 #include <mutex>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -80,6 +82,24 @@
   void Write(const LogEvent& /*event*/) override {}
 };
 
+// fails at the first list of workers and at the first list of members
+class FailsOnce : public Sink<DispatchEvent> {
+ public:
+  void Accept(DispatchEvent event) override {
+    const bool is_workers = std::holds_alternative<WorkersListed>(event);
+    if (!is_workers && !std::holds_alternative<MembersListed>(event)) return;
+    if (!(is_workers ? m_workers_failed : m_members_failed).exchange(true)) {
+      throw std::length_error("a list that nothing could hold");
+    }
+    if (is_workers) ++lists;
+  }
+  std::atomic<int> lists{0};
+
+ private:
+  std::atomic<bool> m_workers_failed{false};
+  std::atomic<bool> m_members_failed{false};
+};
+
 bool Await(const std::function<bool()>& holds) {
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
   while (!holds() && std::chrono::steady_clock::now() < end) {
@@ -113,3 +133,30 @@
   timers.Stop();
   for (const std::size_t size : listed.sizes()) CHECK(size > 0);
 }
+
+// An exception on the thread that handled a reply of the store ended the process.
+TEST_CASE("a list whose handling fails is read again") {
+  const MonotonicClock clock;
+  ScriptedStore store;
+  Interest interest;
+  FailsOnce events;
+  NoLog log;
+  TimerThread timers(clock);
+  DirectoryWatch watch(MemberListing(NodeId(Address(1, 1), 1), "celaya", 250), store, interest,
+                       events, clock, timers, log);
+  watch.Start();
+  CHECK(Await([&] { return events.lists >= 1; }));
+  CHECK(Await([&] { return store.watches >= 2; }));
+  timers.Stop();
+}
+
+TEST_CASE("a timer whose action throws is reported, and later ones run") {
+  const MonotonicClock clock;
+  std::promise<std::string> reason;
+  std::promise<void> later;
+  TimerThread timers(clock, [&reason](const std::string& what) { reason.set_value(what); });
+  timers.At(clock.Now(), [] { throw std::out_of_range("no such run"); });
+  timers.At(clock.Now() + std::chrono::milliseconds(1), [&later] { later.set_value(); });
+  CHECK(reason.get_future().get() == "no such run");
+  CHECK(later.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+}
--- a/tests/unit/unit-http_client.cpp
+++ b/tests/unit/unit-http_client.cpp
@@ -7,6 +7,8 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <stdexcept>
+#include <string>
 #include <thread>
 
 #include "sapphireflow/transport/http_client.h"
@@ -108,6 +110,18 @@
   CHECK(server.bodies_received == 1);
 }
 
+// An exception in a callback, on the client's only thread, ended the process.
+TEST_CASE("a callback that throws is reported, and later calls complete") {
+  ClosingServer server;
+  std::promise<std::string> reason;
+  HttpClient client(1, [&reason](const std::string& what) { reason.set_value(what); });
+  const HttpCall call("POST", Address(INADDR_LOOPBACK, server.port), "/", "", "BODY",
+                      std::chrono::seconds(2));
+  client.Start(call, [](const HttpResult& /*result*/) { throw std::out_of_range("no such run"); });
+  CHECK(reason.get_future().get() == "no such run");
+  CHECK(client.CallAndWait(call).end() != CallEnd::kNotSent);
+}
+
 namespace {
 
 // sends a response of five bytes, one each 300 ms, and stops for good after some of them
