--- a/tests/unit/unit-odd_entries.cpp
+++ b/tests/unit/unit-odd_entries.cpp
@@ -245,6 +245,43 @@
   }
 }
 
+TEST_CASE("a report or refusal of a worker with a number out of its range is malformed") {
+  const auto report = [](const std::string& clock, const std::string& born,
+                         const std::string& number, const std::string& run) {
+    return R"({"clock_ms":)" + clock + R"(,"born":)" + born +
+           R"(,"running":[["5c0e7a21d94b36f8.0.1.17",)" + run + R"(]],"ended":[[)" + number +
+           R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+  };
+  REQUIRE(std::holds_alternative<WorkerReport>(DecodeReport(report("5", "5", "1", "2"))));
+  for (const char* odd : {"-1", "9223372036854775807", "18446744073709551615", "1e300", "true",
+                          "\"5\"", "null", "[]"}) {
+    INFO(odd);
+    CheckIsRefused(DecodeReport(report(odd, "5", "1", "2")));
+    CheckIsRefused(DecodeReport(report("5", odd, "1", "2")));
+    CheckIsRefused(DecodeReport(report("5", "5", odd, "2")));
+    CheckIsRefused(DecodeReport(report("5", "5", "1", odd)));
+    const auto refusal =
+        DecodeRefusal(R"({"clock_ms":)" + std::string(odd) + R"(,"reason":"late"})");
+    CHECK(refusal == WorkerCallResult(CallOutcome::kExpired, 0));
+  }
+  CheckIsRefused(DecodeReport(report("5", "5", "1", "4294967296")));
+}
+
+TEST_CASE("a member's entry with a number out of its range names no member") {
+  const auto names_member = [](const std::string& incarnation, const std::string& milli_cores) {
+    return std::holds_alternative<MemberListing>(DecodeMember(
+        StoreItem("members/m", R"({"address":"10.1.0.13:7720","zone":"celaya","incarnation":)" +
+                                   incarnation + R"(,"milli_cores":)" + milli_cores + "}")));
+  };
+  REQUIRE(names_member("18446744073709551615", "250"));
+  for (const char* odd : {"-1", "1e300", "99999999999999999999", "true", "\"5\"", "null"}) {
+    INFO(odd);
+    CHECK_FALSE(names_member(odd, "250"));
+    CHECK_FALSE(names_member("7", odd));
+  }
+  CHECK_FALSE(names_member("7", "4294967296"));
+}
+
 namespace {
 
 std::string OddScalar() {
