--- a/tests/unit/unit-odd_entries.cpp
+++ b/tests/unit/unit-odd_entries.cpp
@@ -282,6 +282,17 @@
   CHECK_FALSE(names_member("7", "4294967296"));
 }
 
+// A task that needs less than nothing made room for others beyond the capacity of its worker.
+TEST_CASE("a job whose tasks need less than nothing or more than can exist is malformed") {
+  for (const char* field : {"cpu", "mem_mb", "gpu", "estimated_ms"}) {
+    for (const char* odd : {"-1", "9223372036854775807", "18446744073709551615", "1e300", "true"}) {
+      INFO(field << " " << odd);
+      CheckIsRefused(DecodeSubmission(1, R"({"best_effort":true,"steps":[{"count":1,")" +
+                                             std::string(field) + "\":" + odd + "}]}"));
+    }
+  }
+}
+
 namespace {
 
 std::string OddScalar() {
