--- a/tests/unit/unit-odd_entries.cpp
+++ b/tests/unit/unit-odd_entries.cpp
@@ -293,6 +293,13 @@
   }
 }
 
+TEST_CASE("an answer that quotes bytes that are no text can be encoded") {
+  const AnswerCaller answer(1, JobVerdict::kRefused,
+                            Error(ErrorId::kNoSuchResource, "no queue for path \"/\xff\xc3\""),
+                            Duration::zero(), 0);
+  CHECK(Json::parse(EncodeAnswer(answer)).at("error").at("id") == answer.cause()->code());
+}
+
 namespace {
 
 std::string OddScalar() {
