--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -302,6 +302,58 @@
   CHECK(owner.losses.empty());
 }
 
+// A worker that had restarted was asked again without a pause until the list named its new process.
+TEST_CASE("a process other than the listed one is not asked again at once") {
+  OwnerHarness owner;
+  owner.Feed(WorkerAssignment({Listing("w1", 10, false, 5)}, {}));
+  REQUIRE(owner.renewals.size() == 1);
+  owner.AnswerRenewal({}, {});
+  owner.Feed(OwnerTick());
+  CHECK(owner.renewals.size() == 1);
+  owner.now += Millis(1000);
+  owner.Feed(OwnerTick());
+  CHECK(owner.renewals.size() == 2);
+}
+
+TEST_CASE("an entry from the future that nobody answers to does not keep its worker out of use") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.Feed(WorkerAssignment({Listing("w1", 11, false, kMaxProcessStartMs)}, {}));
+  owner.FailRenewal(CallOutcome::kUnknown);
+  owner.now += Millis(1000);
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.Place({0});
+  REQUIRE(owner.starts.size() == 1);
+  CHECK(owner.starts[0].call().address() == Address(10, 80));
+}
+
+// An entry at whose address nobody answered made its owner expect lost replies of all workers: a
+// start counted as lost after 60 ms, which a VM without processor time exceeds.
+TEST_CASE("a worker that has never answered does not shorten the timeouts of the others") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.Feed(WorkerAssignment({Listing("w1", 10), Listing("w2", 11)}, {}));
+  owner.Place({0});
+  owner.FailRenewal(CallOutcome::kUnknown, "w2");
+  owner.Place({1});
+  REQUIRE(owner.starts.size() == 2);
+  CHECK(owner.starts[1].timeout() == owner.starts[0].timeout());
+}
+
+TEST_CASE("of two entries with one address, the one to which the process answers is used") {
+  OwnerHarness owner;
+  owner.Feed(WorkerAssignment({Listing("odd", 10), Listing("w1", 10)}, {}));
+  for (int i = 0; i < 3; ++i) {
+    owner.FailRenewal(CallOutcome::kOtherIncarnation, "odd");
+    owner.now += Millis(1000);
+    owner.Feed(OwnerTick());
+  }
+  owner.AnswerRenewal({}, {});
+  owner.Place({0, 1});
+  REQUIRE(owner.starts.size() == 2);
+  for (const StartRun& start : owner.starts) CHECK(start.call().worker() == "w1");
+}
+
 TEST_CASE("a worker that closes two connections is reported lost with its runs") {
   OwnerHarness owner;
   owner.AcquireWorkers({Listing("w1", 10)});
