Leave a confined queue no less than half of the workers

What callers saw: in a zone with three workers the jobs of a confined queue were refused (1335 times in the trace) although two workers were idle, as the only one left to the queue was away 4 s after each crash, and each such crash confined the queue for 5 s more. Change: round up. Evidence: the new test failed before, 1 == 2 of three workers and 2 == 3 of five.

--- a/include/sapphireflow/recovery/confinement.h
+++ b/include/sapphireflow/recovery/confinement.h
@@ -10,7 +10,7 @@
 
 namespace sapphireflow {
 
-/// @brief Selects a third of the workers of each service and availability zone, at least one, by
+/// @brief Selects half of the workers of each service and availability zone, rounded up, by
 /// shuffle sharding: different queues get different workers.
 ///
 /// Depends on the queue and the addresses only, so that all VMs select the same workers. A worker
--- a/src/recovery/confinement.cc
+++ b/src/recovery/confinement.cc
@@ -27,7 +27,8 @@
   std::set<Address> selected;
   for (auto& [group, ranked] : groups) {
     std::sort(ranked.begin(), ranked.end());
-    ranked.resize(std::max<std::size_t>(1, ranked.size() / kConfinementDivisor));
+    // rounded up: one worker of three would be away whenever it crashes, and two of them idle
+    ranked.resize((ranked.size() + kConfinementDivisor - 1) / kConfinementDivisor);
     for (const auto& [rank, address] : ranked) selected.insert(address);
   }
   return selected;
--- a/tests/unit/unit-crash_ledger.cpp
+++ b/tests/unit/unit-crash_ledger.cpp
@@ -151,6 +151,12 @@
   CHECK(selected.size() == 2);
 }
 
+TEST_CASE("of an odd number of workers no less than half are left to a confined queue") {
+  CHECK(SelectConfinement(kQueue, Listings(1, "celaya")).size() == 1);
+  CHECK(SelectConfinement(kQueue, Listings(3, "celaya")).size() == 2);
+  CHECK(SelectConfinement(kQueue, Listings(5, "celaya")).size() == 3);
+}
+
 TEST_CASE("a snapshot has a limited number of records, the newest") {
   CrashLedger ledger;
   for (std::uint32_t ip = 1; ip <= 300; ++ip) {
