Soak: callers keep connections open and use them until the process is gone

The soak's callers took the connection that was free last from libcurl's pool, so that only one to three connections to a node were open when its SIGTERM came; all were used up at once and closed with their answer. What a node does with a request that arrives on an older connection late in its drain was not tried.

OpenConnections holds 24 connections to each node and sends each request on the one that has been idle longest. The check "cut off" is as strict as before.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -49,7 +49,6 @@
       m_fault_tracker(fault_tracker),
       m_clock(clock),
       m_timers(timers),
-      m_http(1),
       m_seed(seed),
       m_random(seed),
       m_observed(m_nodes.size()) {}
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -12,8 +12,8 @@
 
 #include "fault_tracker.h"
 #include "invariant_checker.h"
+#include "open_connections.h"
 #include "sapphireflow/transport/clock.h"
-#include "sapphireflow/transport/http_client.h"
 #include "sapphireflow/transport/timer_thread.h"
 
 namespace sapphireflow::soak {
@@ -67,7 +67,7 @@
   const FaultTracker& m_fault_tracker;
   const Clock& m_clock;
   TimerThread& m_timers;
-  HttpClient m_http;
+  OpenConnections m_http;
   const std::uint32_t m_seed;
   std::atomic<bool> m_only_planned_stops{false};
   std::mutex m_mutex;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -13,6 +13,7 @@
 #include "fault_tracker.h"
 #include "invariant_checker.h"
 #include "node_process.h"
+#include "sapphireflow/transport/http_client.h"
 #include "sapphireflow/transport/http_server.h"
 #include "soak_store.h"
 #include "soak_worker.h"
