Soak: series of signals, restarts and changes that overlap

Faults of the soak were drawn one by one: a node got one signal at a time, SIGTERM came only alone in a run, and nothing followed a signal closely.

One seed in four has planned work only, where "cut off" is checked. The kinds of single faults are shared (Schedule); MixedSchedule draws as before. NodeProcess knows which signals it sent, so that the check "exit" no longer goes by the text of a step: any process that ended by itself counts, with any code.

--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -157,6 +157,38 @@
   }
 }
 
+void Fleet::RestartWorker(std::size_t worker) {
+  m_fault_tracker.BeginFault();
+  worker_link(worker).ResetAll();
+  m_workers[worker]->worker->Restart();
+  SetRegistered(worker, true);
+  m_fault_tracker.EndFault();
+}
+
+void Fleet::CheckProcesses() {
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    NodeProcess& process = *m_nodes[i]->process;
+    if (!process.running() || !process.HasEnded()) continue;
+    const std::string problem = process.EndProblem();
+    if (!problem.empty()) {
+      m_checker.AddViolation("exit: node " + std::to_string(i + 1) + " " + problem);
+    }
+  }
+}
+
+void Fleet::KeepRunning(std::size_t node) {
+  NodeProcess& process = *m_nodes[node]->process;
+  CheckProcesses();
+  if (process.IsOverdue(kGracePeriod)) {
+    m_checker.AddViolation("stop: node " + std::to_string(node + 1) +
+                           " did not end within its grace period");
+  }
+  if (process.MustBeKilled(kGracePeriod)) process.Kill();
+  if (process.running()) return;
+  m_callers->NodeRestarted(node);
+  if (!process.Start()) m_checker.AddViolation("start: cannot start a node");
+}
+
 void Fleet::PublishWorkerEntries() {
   if (!m_publishing) return;
   for (std::size_t i = 0; i < m_workers.size(); ++i) {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -50,6 +50,15 @@
   /// a violation.
   void Stop();
 
+  /// @brief Crashes a worker and starts its next incarnation at once.
+  void RestartWorker(std::size_t worker);
+  /// @brief Adds a violation for each node whose process has ended and should not have.
+  void CheckProcesses();
+  /// @brief Starts the process of a node again if it has ended. One that was asked to end longer
+  /// ago than its grace period is killed first, as the platform does; that is a violation unless it
+  /// was frozen in between.
+  void KeepRunning(std::size_t node);
+
   /// @brief Writes the next version of the configuration, which adds a queue and removes the one
   /// that the previous version added, and schedules probes of the new queue.
   void ChangeConfiguration();
--- a/tests/soak/node_process.cc
+++ b/tests/soak/node_process.cc
@@ -10,15 +10,18 @@
 #include <utility>
 
 namespace sapphireflow::soak {
+namespace {
+
+// A signal that arrives before main() has blocked it ends the process.
+constexpr std::chrono::milliseconds kLoadTime(100);
+constexpr std::chrono::milliseconds kKillTime(300);
+
+}  // namespace
 
 NodeProcess::NodeProcess(std::string program, std::string settings, std::string log)
     : m_program(std::move(program)), m_settings(std::move(settings)), m_log(std::move(log)) {}
 
-NodeProcess::~NodeProcess() {
-  if (!running()) return;
-  Signal(SIGKILL);
-  waitpid(m_pid, nullptr, 0);
-}
+NodeProcess::~NodeProcess() { Kill(); }
 
 bool NodeProcess::Start() {
   posix_spawn_file_actions_t actions;
@@ -46,11 +49,52 @@
   posix_spawnattr_destroy(&attributes);
   posix_spawn_file_actions_destroy(&actions);
   if (failed != 0) m_pid = 0;
+  m_started_at = std::chrono::steady_clock::now();
+  m_asked_to_end_at.reset();
+  m_killed_at.reset();
+  m_frozen = m_frozen_while_ending = m_signalled_at_start = false;
   return failed == 0;
 }
 
-void NodeProcess::Signal(int signal) const {
-  if (running()) kill(m_pid, signal);
+void NodeProcess::Signal(int signal) {
+  if (!running()) return;
+  const Time now = std::chrono::steady_clock::now();
+  if (signal == SIGTERM && !m_asked_to_end_at) m_asked_to_end_at = now;
+  if (signal == SIGKILL && !m_killed_at) m_killed_at = now;
+  if (signal == SIGSTOP) m_frozen = true;
+  if (signal == SIGCONT) m_frozen = false;
+  if (m_frozen && m_asked_to_end_at) m_frozen_while_ending = true;
+  if ((signal == SIGTERM || signal == SIGHUP) && now - m_started_at < kLoadTime) {
+    m_signalled_at_start = true;
+  }
+  kill(m_pid, signal);
+}
+
+void NodeProcess::Kill() {
+  if (!running()) return;
+  Signal(SIGKILL);
+  waitpid(m_pid, nullptr, 0);
+  m_pid = 0;
+  m_exit_code = -SIGKILL;
+}
+
+std::string NodeProcess::EndProblem() const {
+  if (m_killed_at) return "";
+  if (m_signalled_at_start && (m_exit_code == -SIGTERM || m_exit_code == -SIGHUP)) return "";
+  if (!m_asked_to_end_at) return "ended by itself with exit code " + std::to_string(m_exit_code);
+  if (m_exit_code == 0) return "";
+  return "was stopped and ended with exit code " + std::to_string(m_exit_code);
+}
+
+bool NodeProcess::MustBeKilled(Duration grace) const {
+  const Time now = std::chrono::steady_clock::now();
+  if (!running()) return false;
+  return (m_killed_at && now - *m_killed_at > kKillTime) ||
+         (m_asked_to_end_at && now - *m_asked_to_end_at > grace);
+}
+
+bool NodeProcess::IsOverdue(Duration grace) const {
+  return MustBeKilled(grace) && !m_frozen_while_ending;
 }
 
 bool NodeProcess::HasEnded() {
--- a/tests/soak/node_process.h
+++ b/tests/soak/node_process.h
@@ -4,8 +4,12 @@
 
 #include <sys/types.h>
 
+#include <chrono>
+#include <optional>
 #include <string>
 
+#include "sapphireflow/model/time.h"
+
 namespace sapphireflow::soak {
 
 /// @brief Starts, signals and ends a child process. Signals only the process that it started.
@@ -20,21 +24,39 @@
 
   /// @return whether the process could be started
   bool Start();
-  void Signal(int signal) const;
+  void Signal(int signal);
+  /// @brief Kills the process and waits for its end.
+  void Kill();
   /// @brief Checks without blocking whether the process has ended, and records its exit code if so.
   bool HasEnded();
   bool running() const { return m_pid > 0; }
+  /// @brief What is wrong with how the last process ended: it was not asked to, or it was stopped
+  /// and reported a failure. Empty if nothing is.
+  std::string EndProblem() const;
+  /// @return whether the process still runs although it was killed, or was asked to end longer ago
+  /// than `grace`. One that was frozen in between is not overdue.
+  bool IsOverdue(Duration grace) const;
+  /// @return whether it was asked to end at least `grace` ago and still runs, frozen or not
+  bool MustBeKilled(Duration grace) const;
   /// @brief Exit code of the process that ended last; the negative signal number if a signal ended
   /// it.
   int exit_code() const { return m_exit_code; }
 
  private:
+  using Time = std::chrono::steady_clock::time_point;
+
   const std::string m_program;
   const std::string m_settings;
   const std::string m_log;
-  // 0 while no process runs
   pid_t m_pid = 0;
   int m_exit_code = 0;
+  // of the process that was started last
+  Time m_started_at;
+  std::optional<Time> m_asked_to_end_at;
+  std::optional<Time> m_killed_at;
+  bool m_frozen = false;
+  bool m_frozen_while_ending = false;
+  bool m_signalled_at_start = false;
 };
 
 }  // namespace sapphireflow::soak
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -10,68 +10,32 @@
 constexpr int kMaxFaultMs = 2500;
 constexpr int kMinFaultMs = 200;
 constexpr Duration kRestartPause = std::chrono::milliseconds(400);
-// longer than the grace period of a node (bounds.grace_period_s=6)
-constexpr Duration kPlannedStopTime = std::chrono::milliseconds(6200);
 
 void BeginFault(Fleet& fleet) { fleet.fault_tracker().BeginFault(); }
 void EndFault(Fleet& fleet) { fleet.fault_tracker().EndFault(); }
 
-void RestartNode(Fleet& fleet, std::size_t node) {
-  if (!fleet.node(node).HasEnded()) {
-    fleet.checker().AddViolation("stop: node " + std::to_string(node + 1) +
-                                 " did not end within its grace period");
-    return;
-  }
-  fleet.callers().NodeRestarted(node);
-  if (!fleet.node(node).Start()) fleet.checker().AddViolation("start: cannot start a node");
-}
-
-void RestartWorker(Fleet& fleet, std::size_t worker) {
-  BeginFault(fleet);
-  fleet.worker_link(worker).ResetAll();
-  fleet.worker(worker).Restart();
-  fleet.SetRegistered(worker, true);
-  EndFault(fleet);
-}
+}  // namespace
 
 std::string WithNumber(const std::string& text, std::size_t index) {
   return text + " " + std::to_string(index + 1);
 }
 
-}  // namespace
-
 Schedule::Schedule(std::uint32_t seed, std::size_t nodes, std::size_t workers, Duration length)
-    : m_random(seed), m_nodes(nodes), m_workers(workers), m_length(length) {
-  m_only_planned_stops = RandomBelow(8) == 0;
-  if (m_only_planned_stops) {
-    AddNodeStop("planned stop", static_cast<std::size_t>(RandomBelow(static_cast<int>(nodes))),
-                SIGTERM, Duration::zero(), kPlannedStopTime);
-  } else {
-    const int faults = 4 + RandomBelow(8);
-    for (int i = 0; i < faults; ++i) {
-      switch (RandomBelow(6)) {
-        case 0:
-          AddNodeFault();
-          break;
-        case 1:
-          AddStoreFault();
-          break;
-        case 2:
-        case 3:
-          AddWorkerFault();
-          break;
-        case 4:
-          AddLinkFault();
-          break;
-        default:
-          AddConfigurationChanges();
-      }
-    }
-  }
+    : m_random(seed), m_nodes(nodes), m_workers(workers), m_length(length) {}
+
+void Schedule::SortSteps() {
   std::stable_sort(m_steps.begin(), m_steps.end(),
                    [](const Step& a, const Step& b) { return a.at < b.at; });
 }
 
+void Schedule::AddStep(Duration at, std::string text, std::function<void(Fleet&)> action) {
+  m_steps.push_back({at, std::move(text), std::move(action)});
+}
+
+Duration Schedule::RandomMillis(int from, int below) {
+  return std::chrono::milliseconds(from + RandomBelow(below - from));
+}
+
 int Schedule::RandomBelow(int below) {
   return std::uniform_int_distribution<int>(0, below - 1)(m_random);
 }
@@ -102,7 +66,7 @@
                        fleet.node(node).Signal(signal);
                      }});
   m_steps.push_back({at + pause, WithNumber("start of node", node), [node](Fleet& fleet) {
-                       RestartNode(fleet, node);
+                       fleet.KeepRunning(node);
                        EndFault(fleet);
                      }});
 }
@@ -188,7 +152,7 @@
       break;
     case 4:
       m_steps.push_back({RandomTime(), WithNumber("crash of worker", worker),
-                         [worker](Fleet& fleet) { RestartWorker(fleet, worker); }});
+                         [worker](Fleet& fleet) { fleet.RestartWorker(worker); }});
       return;
     default: {
       // the worker drains for four seconds, then restarts as a new incarnation
@@ -198,13 +162,7 @@
                            fleet.SetRegistered(worker, true);
                          }});
       m_steps.push_back({at + std::chrono::seconds(4), WithNumber("return of worker", worker),
-                         [worker](Fleet& fleet) {
-                           BeginFault(fleet);
-                           fleet.worker_link(worker).ResetAll();
-                           fleet.worker(worker).Restart();
-                           fleet.SetRegistered(worker, true);
-                           EndFault(fleet);
-                         }});
+                         [worker](Fleet& fleet) { fleet.RestartWorker(worker); }});
       return;
     }
   }
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -1,4 +1,4 @@
-// Random schedule of faults, which may overlap, derived from a seed.
+// Base of the schedules of faults, which are derived from a seed: the kinds of faults.
 #ifndef SAPPHIREFLOW_TESTS_SOAK_SCHEDULE_H_
 #define SAPPHIREFLOW_TESTS_SOAK_SCHEDULE_H_
 
@@ -17,16 +17,24 @@
   std::function<void(Fleet&)> action;
 };
 
-/// @brief Generates the steps of a run. The same seed and fleet size give the same steps.
+/// @brief The steps of a run. The same seed and fleet size give the same steps.
 class Schedule {
  public:
-  /// @param length time within which faults begin; they may end a few seconds after it
-  Schedule(std::uint32_t seed, std::size_t nodes, std::size_t workers, Duration length);
+  virtual ~Schedule() = default;
+  Schedule(const Schedule&) = delete;
+  Schedule& operator=(const Schedule&) = delete;
   const std::vector<Step>& steps() const { return m_steps; }
-  /// @brief Whether all steps belong to planned stops.
+  /// @brief Whether all steps belong to planned stops, reloads and changes of the configuration.
   bool only_planned_stops() const { return m_only_planned_stops; }
+  /// @brief Whether callers connect to the nodes without a proxy.
+  virtual bool direct_callers() const = 0;
 
- private:
+ protected:
+  /// @param length time within which faults begin; they may end a few seconds after it
+  Schedule(std::uint32_t seed, std::size_t nodes, std::size_t workers, Duration length);
+  void SetOnlyPlannedStops(bool only_planned_stops) { m_only_planned_stops = only_planned_stops; }
+  void SortSteps();
+  void AddStep(Duration at, std::string text, std::function<void(Fleet&)> action);
   void AddNodeFault();
   // signals a node's process and starts a new one after the pause
   void AddNodeStop(const std::string& text, std::size_t node, int signal, Duration at,
@@ -39,8 +47,15 @@
   void AddTimedFault(const std::string& text, std::function<void(Fleet&)> begin,
                      std::function<void(Fleet&)> end);
   int RandomBelow(int below);
+  Duration RandomMillis(int from, int below);
   Duration RandomTime();
+  std::size_t RandomIndex(std::size_t below) {
+    return static_cast<std::size_t>(RandomBelow(static_cast<int>(below)));
+  }
+  std::size_t RandomNode() { return RandomIndex(m_nodes); }
+  std::size_t RandomWorker() { return RandomIndex(m_workers); }
 
+ private:
   std::mt19937 m_random;
   const std::size_t m_nodes;
   const std::size_t m_workers;
@@ -49,6 +64,9 @@
   std::vector<Step> m_steps;
 };
 
+/// @brief Name of a step, with the number of its node or worker, counting from 1.
+std::string WithNumber(const std::string& text, std::size_t index);
+
 }  // namespace sapphireflow::soak
 
 #endif  // SAPPHIREFLOW_TESTS_SOAK_SCHEDULE_H_
--- /dev/null
+++ b/tests/soak/series_schedule.h
@@ -0,0 +1,34 @@
+// Schedule of signals, restarts and changes that follow each other closely and overlap.
+#ifndef SAPPHIREFLOW_TESTS_SOAK_SERIES_SCHEDULE_H_
+#define SAPPHIREFLOW_TESTS_SOAK_SERIES_SCHEDULE_H_
+
+#include "schedule.h"
+
+namespace sapphireflow::soak {
+
+/// @brief Series of signals on several nodes, of crashes on several workers and of changes of the
+/// configuration, beside single faults. One seed in four has planned stops, reloads and changes
+/// only.
+class SeriesSchedule : public Schedule {
+ public:
+  SeriesSchedule(std::uint32_t seed, std::size_t nodes, std::size_t workers, Duration length);
+  bool direct_callers() const override { return true; }
+
+ private:
+  void AddNodeSeries(std::size_t node, Duration at);
+  void AddWorkerSeries(std::size_t worker, Duration at);
+  void AddConfigurationSeries(Duration at);
+  void AddSignal(std::size_t node, Duration at, int signal);
+  // ends the process by the signal, and starts the next one as soon as the platform would
+  void AddEnd(std::size_t node, Duration at, int signal);
+  void AddFreeze(std::size_t node, Duration at);
+  // a signal that may come at any time, also while the node stops
+  void AddRandomSignal(std::size_t node, Duration at);
+
+  // when the last step of the series that is being added is due
+  Duration m_series_end{};
+};
+
+}  // namespace sapphireflow::soak
+
+#endif  // SAPPHIREFLOW_TESTS_SOAK_SERIES_SCHEDULE_H_
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -7,7 +7,8 @@
 #include <future>
 #include <iostream>
 
-#include "schedule.h"
+#include "mixed_schedule.h"
+#include "series_schedule.h"
 
 namespace {
 
@@ -15,7 +16,9 @@
 using sapphireflow::Instant;
 using sapphireflow::soak::Fleet;
 using sapphireflow::soak::FleetPlan;
+using sapphireflow::soak::MixedSchedule;
 using sapphireflow::soak::Schedule;
+using sapphireflow::soak::SeriesSchedule;
 using sapphireflow::soak::Step;
 
 constexpr Duration kWarmUp = std::chrono::milliseconds(1500);
@@ -43,11 +46,18 @@
                     [&fleet, until] { SubmitPeriodically(fleet, until); });
 }
 
-bool RunSeed(FleetPlan plan, bool show) {
+std::unique_ptr<const Schedule> MakeSchedule(const FleetPlan& plan, bool series) {
+  if (series) {
+    return std::make_unique<const SeriesSchedule>(plan.seed, plan.nodes, plan.workers, kFaultTime);
+  }
+  return std::make_unique<const MixedSchedule>(plan.seed, plan.nodes, plan.workers, kFaultTime);
+}
+
+bool RunSeed(FleetPlan plan, bool series, bool show) {
   std::filesystem::remove_all(plan.folder);
   std::filesystem::create_directories(plan.folder);
-  const Schedule schedule(plan.seed, plan.nodes, plan.workers, kFaultTime);
-  plan.direct_callers = schedule.only_planned_stops();
+  const auto schedule = MakeSchedule(plan, series);
+  plan.direct_callers = schedule->direct_callers();
   Fleet fleet(plan);
   if (!fleet.Start()) {
     std::cout << "FAIL seed " << plan.seed
@@ -56,23 +66,15 @@
   }
   const Instant begin = fleet.clock().Now() + kWarmUp;
   Duration last = kFaultTime;
-  for (const Step& step : schedule.steps()) last = std::max(last, step.at);
+  for (const Step& step : schedule->steps()) last = std::max(last, step.at);
   const Instant end = begin + last + kMaxRecoveryTime + kFaultFreeTime;
   SubmitPeriodically(fleet, end);
-  fleet.callers().SetOnlyPlannedStops(schedule.only_planned_stops());
-  for (const Step& step : schedule.steps()) {
+  fleet.callers().SetOnlyPlannedStops(schedule->only_planned_stops());
+  for (const Step& step : schedule->steps()) {
     WaitUntil(fleet, begin + step.at);
     if (show) std::cout << sapphireflow::ToMillis(step.at) << " " << step.text << "\n";
     step.action(fleet);
-    for (std::size_t i = 0; i < fleet.nodes(); ++i) {
-      const bool expected = step.text.find("node " + std::to_string(i + 1)) != std::string::npos;
-      if (!expected && fleet.node(i).running() && fleet.node(i).HasEnded() &&
-          fleet.node(i).exit_code() != 0 && fleet.node(i).exit_code() != -SIGKILL) {
-        fleet.checker().AddViolation("exit: node " + std::to_string(i + 1) +
-                                     " ended unexpectedly with exit code " +
-                                     std::to_string(fleet.node(i).exit_code()));
-      }
-    }
+    fleet.CheckProcesses();
   }
   WaitUntil(fleet, end);
   fleet.callers().WaitForAll();
@@ -116,6 +118,7 @@
   TCLAP::ValueArg<std::uint32_t> workers("w", "workers", "number of workers", false, 6, "count",
                                          command);
   TCLAP::SwitchArg show("v", "show", "print each step as it is executed", command);
+  TCLAP::SwitchArg series("", "series", "signals, restarts and changes in series", command);
   command.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   std::uint32_t failed = 0;
@@ -127,7 +130,7 @@
     plan.slot = slot.getValue();
     plan.nodes = nodes.getValue();
     plan.workers = workers.getValue();
-    if (!RunSeed(plan, show.getValue())) ++failed;
+    if (!RunSeed(plan, series.getValue(), show.getValue())) ++failed;
   }
   std::cout << count.getValue() - failed << " passed, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
