--- a/include/sapphireflow/transport/http_client.h
+++ b/include/sapphireflow/transport/http_client.h
@@ -23,7 +23,7 @@
   using OnFailure = std::function<void(const std::string& reason)>;
 
   /// @param threads number of threads; all calls to one address use the same thread
-  explicit HttpClient(int threads, OnFailure on_failure = {});
+  explicit HttpClient(int threads, const OnFailure& on_failure = {});
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -266,7 +266,7 @@
   std::thread m_thread;
 };
 
-HttpClient::HttpClient(int threads, OnFailure on_failure) {
+HttpClient::HttpClient(int threads, const OnFailure& on_failure) {
   InitOnce();
   for (int i = 0; i < threads; ++i) m_loops.push_back(std::make_unique<Loop>(on_failure));
 }
