Soak: tasks that crash each worker that starts them, and capacities that shrink

The worker refuses connections, is silent to the store and is back as another process after 1 to 3 s. Checked: "budget" as in the simulation (fewer than three starts more after three crashes), besides "twice", "limit" and "calm" for all other jobs. The fault-free time begins when the last of these workers is back. Workers also state a half or a third of their capacity for 5 to 9 s; the smaller size counts 4.5 s after the change.

"did not end within its grace period" says how long the thread that waited longest for a processor has done so.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -16,7 +16,11 @@
 constexpr int kUnavailable = 503;
 // The platform's callers set this deadline and resubmit a job after kResendPause.
 constexpr Duration kCallerDeadline = std::chrono::milliseconds(1500);
-constexpr Duration kCallTimeout = std::chrono::milliseconds(4000);
+// of jobs that may need several workers
+constexpr Duration kPatientDeadline = std::chrono::milliseconds(10000);
+// how much longer than its deadline a caller waits
+constexpr Duration kAnswerSlack = std::chrono::milliseconds(2500);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(4000);
 constexpr Duration kResendPause = std::chrono::milliseconds(1300);
 constexpr Duration kReconnectPause = std::chrono::milliseconds(100);
 constexpr std::uint32_t kMaxSubmissions = 4;
@@ -59,21 +63,43 @@
   return std::uniform_int_distribution<int>(0, below - 1)(m_random);
 }
 
+JobPlan Callers::RandomPlanLocked() {
+  JobPlan plan;
+  plan.name = JobName(m_seed, m_next_job++);
+  plan.payload = "payload of " + plan.name;
+  plan.tasks = static_cast<std::uint32_t>(1 + RandomBelow(4));
+  plan.milli_cores = std::int64_t{1000} * (1 + RandomBelow(6));
+  plan.run_duration = std::chrono::milliseconds(20 + RandomBelow(RandomBelow(5) == 0 ? 900 : 200));
+  plan.submitted_at = m_clock.Now();
+  ++m_open_jobs;
+  return plan;
+}
+
 void Callers::SubmitRandomJob() {
-  const auto job = std::make_shared<SubmittedJob>();
+  JobPlan plan;
   {
     std::lock_guard<std::mutex> lock(m_mutex);
-    JobPlan& plan = job->plan;
-    plan.name = JobName(m_seed, m_next_job++);
-    plan.payload = "payload of " + plan.name;
-    plan.tasks = static_cast<std::uint32_t>(1 + RandomBelow(4));
-    plan.milli_cores = std::int64_t{1000} * (1 + RandomBelow(6));
-    plan.run_duration =
-        std::chrono::milliseconds(20 + RandomBelow(RandomBelow(5) == 0 ? 900 : 200));
+    plan = RandomPlanLocked();
     plan.poison = RandomBelow(60) == 0;
-    plan.submitted_at = m_clock.Now();
-    ++m_open_jobs;
   }
+  Submit(plan, "jobs", kCallerDeadline);
+}
+
+void Callers::SubmitDeadlyJob() {
+  JobPlan plan;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    plan = RandomPlanLocked();
+    plan.deadly = true;
+  }
+  Submit(plan, "patient", kPatientDeadline);
+}
+
+void Callers::Submit(const JobPlan& plan, const std::string& queue, Duration deadline) {
+  const auto job = std::make_shared<SubmittedJob>();
+  job->plan = plan;
+  job->queue = queue;
+  job->deadline = deadline;
   job->body = Json{{"spec", job->plan.payload},
                    {"best_effort", true},
                    {"steps", Json::array({StepJson(job->plan)})}}
@@ -89,12 +115,12 @@
     node = static_cast<std::size_t>(RandomBelow(static_cast<int>(m_nodes.size())));
   }
   ++job->attempt_count;
-  m_http.Start(
-      HttpCall("POST", m_nodes[node], "/jobs/" + job->plan.name, "", job->body, kCallTimeout,
-               {{"Host", kHost},
-                {"Sapphireflow-Deadline-Ms",
-                 std::to_string(static_cast<std::int64_t>(ToMillis(kCallerDeadline)))}}),
-      [this, job, node](const HttpResult& result) { OnAnswer(job, node, result); });
+  m_http.Start(HttpCall("POST", m_nodes[node], "/" + job->queue + "/" + job->plan.name, "",
+                        job->body, job->deadline + kAnswerSlack,
+                        {{"Host", kHost},
+                         {"Sapphireflow-Deadline-Ms",
+                          std::to_string(static_cast<std::int64_t>(ToMillis(job->deadline)))}}),
+               [this, job, node](const HttpResult& result) { OnAnswer(job, node, result); });
 }
 
 void Callers::RetryAfter(const SubmittedJobPtr& job, Duration pause) {
@@ -165,7 +191,7 @@
       restart_count = m_observed[node].restart_count;
     }
     m_http.Start(
-        HttpCall("GET", m_nodes[node], "/" + queue + "/", "", "", kCallTimeout, {{"Host", kHost}}),
+        HttpCall("GET", m_nodes[node], "/" + queue + "/", "", "", kProbeTimeout, {{"Host", kHost}}),
         [this, queue, node, restart_count, overdue](const HttpResult& result) {
           if (result.end() != CallEnd::kResponded) return;
           std::string newest_seen_queue;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -32,6 +32,8 @@
 
   /// @brief Submits a new job with random size and run time to a random node.
   void SubmitRandomJob();
+  /// @brief Submits a job with a long deadline whose first task crashes each worker that starts it.
+  void SubmitDeadlyJob();
   /// @brief Checks on every node that a queue added by the newest configuration exists.
   /// @param acknowledged_at when the store acknowledged that configuration
   void Probe(const std::string& queue, Instant acknowledged_at);
@@ -51,11 +53,16 @@
   struct SubmittedJob {
     JobPlan plan;
     std::string body;
+    std::string queue;
+    Duration deadline{};
     std::uint32_t attempt_count = 0;
     bool all_rejected = true;
   };
   using SubmittedJobPtr = std::shared_ptr<SubmittedJob>;
 
+  // draws the plan's sizes; needs m_mutex
+  JobPlan RandomPlanLocked();
+  void Submit(const JobPlan& plan, const std::string& queue, Duration deadline);
   void SendSubmission(const SubmittedJobPtr& job);
   void RetryAfter(const SubmittedJobPtr& job, Duration pause);
   void OnAnswer(const SubmittedJobPtr& job, std::size_t node, const HttpResult& result);
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -26,6 +26,10 @@
 constexpr Duration kPublishInterval = std::chrono::milliseconds(1500);
 constexpr Duration kReadyTimeout = std::chrono::seconds(10);
 constexpr Duration kPollInterval = std::chrono::milliseconds(50);
+constexpr int kTimeoutMs = 1500;
+constexpr int kPatientTimeoutMs = 10000;
+constexpr int kMinAwayMs = 1000;
+constexpr int kMaxAwayMs = 3000;
 constexpr Duration kGracePeriod = std::chrono::seconds(6);
 
 void SleepUntil(TimerThread& timers, Instant until) {
@@ -34,9 +38,9 @@
   over.get_future().wait();
 }
 
-Json RouteJson(const std::string& name) {
+Json RouteJson(const std::string& name, int timeout_ms) {
   return {{"name", name},     {"hostname", "soak.example"}, {"prefix", "/" + name + "/"},
-          {"type", "unsafe"}, {"timeout_ms", 1500},         {"target_duration_ms", 60},
+          {"type", "unsafe"}, {"timeout_ms", timeout_ms},   {"target_duration_ms", 60},
           {"priority", 0},    {"backend", "workshop"},      {"max_attempts", 3},
           {"stretch", 1.6}};
 }
@@ -47,7 +51,8 @@
     : m_plan(plan),
       m_timers(m_clock),
       m_fault_tracker(m_clock),
-      m_store(m_clock, m_timers, plan.seed) {
+      m_store(m_clock, m_timers, plan.seed),
+      m_random(plan.seed) {
   m_store_server = std::make_unique<HttpServer>(SlotAddress(kStore, kStorePort), 1, m_store);
   for (std::uint32_t i = 0; i < plan.workers; ++i) AddWorker(i);
   for (std::uint32_t i = 0; i < plan.nodes; ++i) AddNode(i);
@@ -78,9 +83,9 @@
   // the clock of a worker may be 2 % slow
   const double clock_rate = index % 2 == 0 ? 1.0 : 0.98;
   const double speed = 0.7 + 0.3 * (index % 3);
-  part->worker = std::make_unique<SoakWorker>("w-" + std::to_string(index + 1), 16000, speed,
-                                              clock_rate, m_checker, m_fault_tracker, m_clock,
-                                              m_timers, m_plan.seed + index);
+  part->worker = std::make_unique<SoakWorker>(
+      "w-" + std::to_string(index + 1), FleetPlan::kMilliCores, speed, clock_rate, m_checker,
+      m_fault_tracker, m_clock, m_timers, *this, m_plan.seed + index);
   part->server = std::make_unique<HttpServer>(SlotAddress(host, kWorkerPort), 1, *part->worker);
   part->registered_address = SlotAddress(host, kWorkerLinkPort);
   part->link =
@@ -149,7 +154,8 @@
     }
     if (process.running()) {
       m_checker.AddViolation("stop: node " + std::to_string(i + 1) +
-                             " did not end within its grace period");
+                             " did not end within its grace period; a thread waited " +
+                             std::to_string(process.LongestCpuWaitMs()) + " ms for a processor");
     } else if (process.exit_code() != 0) {
       m_checker.AddViolation("stop: node " + std::to_string(i + 1) + " ended with exit code " +
                              std::to_string(process.exit_code()));
@@ -157,6 +163,31 @@
   }
 }
 
+void Fleet::OnCrash(const std::string& worker) {
+  const std::size_t index = std::stoul(worker.substr(worker.find('-') + 1)) - 1;
+  if (m_workers[index]->down.exchange(true)) return;
+  m_fault_tracker.BeginFault();
+  // not here, since the worker holds its lock
+  m_timers.At(m_clock.Now(), [this, index] {
+    m_workers[index]->link->SetFault(LinkFault::kRefused);
+    m_workers[index]->worker->Restart();
+  });
+  const auto away = std::chrono::milliseconds(
+      std::uniform_int_distribution<int>(kMinAwayMs, kMaxAwayMs)(m_random));
+  m_timers.At(m_clock.Now() + away, [this, index] {
+    m_workers[index]->worker->Restart();
+    m_workers[index]->link->SetFault(LinkFault::kNone);
+    m_workers[index]->down = false;
+    SetRegistered(index, true);
+    m_fault_tracker.EndFault();
+  });
+}
+
+void Fleet::SetCapacity(std::size_t worker, std::int64_t milli_cores) {
+  m_workers[worker]->worker->SetCapacity(milli_cores);
+  SetRegistered(worker, true);
+}
+
 void Fleet::RestartWorker(std::size_t worker) {
   m_fault_tracker.BeginFault();
   worker_link(worker).ResetAll();
@@ -181,7 +212,8 @@
   CheckProcesses();
   if (process.IsOverdue(kGracePeriod)) {
     m_checker.AddViolation("stop: node " + std::to_string(node + 1) +
-                           " did not end within its grace period");
+                           " did not end within its grace period; a thread waited " +
+                           std::to_string(process.LongestCpuWaitMs()) + " ms for a processor");
   }
   if (process.MustBeKilled(kGracePeriod)) process.Kill();
   if (process.running()) return;
@@ -193,7 +225,7 @@
   if (!m_publishing) return;
   for (std::size_t i = 0; i < m_workers.size(); ++i) {
     WorkerPart& part = *m_workers[i];
-    if (part.registered) {
+    if (part.registered && !part.down) {
       m_store.Put("servers/w-" + std::to_string(i + 1),
                   part.worker->Entry(part.registered_address.text()));
     }
@@ -205,6 +237,7 @@
   WorkerPart& part = *m_workers[worker];
   part.registered = registered;
   const std::string key = "servers/w-" + std::to_string(worker + 1);
+  if (registered && part.down) return;
   if (registered) {
     m_store.Put(key, part.worker->Entry(part.registered_address.text()));
   } else {
@@ -216,10 +249,13 @@
   const std::uint64_t version = m_version++;
   const std::string queue = "queue-" + std::to_string(version);
   m_callers->SetNewestQueue(queue);
-  m_store.Put("op/config", {{"version", version * 3},
-                            {"routes", {RouteJson("jobs"), RouteJson(queue)}},
-                            {"services", Json::array({{{"name", "workshop"}}})},
-                            {"limits", {{"max_body_bytes", 262144}}}});
+  m_store.Put("op/config",
+              {{"version", version * 3},
+               {"routes",
+                {RouteJson("jobs", kTimeoutMs), RouteJson("patient", kPatientTimeoutMs),
+                 RouteJson(queue, kTimeoutMs)}},
+               {"services", Json::array({{{"name", "workshop"}}})},
+               {"limits", {{"max_body_bytes", 262144}}}});
   const Instant acknowledged_at = m_clock.Now();
   constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
   constexpr int kProbes = 10;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
 
 /// @brief Size, addresses and files of a fleet.
 struct FleetPlan {
+  // of each worker
+  static constexpr std::int64_t kMilliCores = 16000;
   std::string program;
   std::string folder;
   // each slot has a subnet of its own, so that several fleets can run at the same time
@@ -36,10 +39,10 @@
 
 /// @brief Owns all components of a run. Each component is thread-safe by its own lock, except for
 /// the process of each node, which only the thread that runs the schedule may use.
-class Fleet {
+class Fleet : public CrashListener {
  public:
   explicit Fleet(const FleetPlan& plan);
-  ~Fleet();
+  ~Fleet() override;
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
@@ -50,6 +53,11 @@
   /// a violation.
   void Stop();
 
+  /// @brief Crashes a worker, which cannot be reached until its next incarnation starts seconds
+  /// later.
+  void OnCrash(const std::string& worker) override;
+  /// @brief Changes the capacity of a worker and publishes it.
+  void SetCapacity(std::size_t worker, std::int64_t milli_cores);
   /// @brief Crashes a worker and starts its next incarnation at once.
   void RestartWorker(std::size_t worker);
   /// @brief Adds a violation for each node whose process has ended and should not have.
@@ -86,6 +94,7 @@
     std::unique_ptr<FaultProxy> link;  // from the nodes to the worker
     Address registered_address;
     std::atomic<bool> registered{true};
+    std::atomic<bool> down{false};
   };
   struct NodePart {
     std::unique_ptr<FaultProxy> store_link;  // from the node to the store
@@ -111,6 +120,8 @@
   std::vector<std::unique_ptr<NodePart>> m_nodes;
   std::unique_ptr<Callers> m_callers;
   std::uint64_t m_version = 1;
+  // used by the timer thread only
+  std::mt19937 m_random;
   std::atomic<bool> m_publishing{true};
 };
 
--- a/tests/soak/invariant_checker.cc
+++ b/tests/soak/invariant_checker.cc
@@ -2,6 +2,16 @@
 #include "invariant_checker.h"
 
 namespace sapphireflow::soak {
+namespace {
+
+// after as many crashes a task may be started fewer than this many times more
+constexpr int kMaxCrashes = 3;
+
+}  // namespace
+
+bool IsDeadly(const JobPlan& plan, const std::string& task) {
+  return plan.deadly && task == plan.name + ".0.0.0";
+}
 
 void InvariantChecker::Submitted(const JobPlan& plan) {
   std::lock_guard<std::mutex> lock(m_mutex);
@@ -41,6 +51,11 @@
   }
   Job& job = found->second;
   job.started.insert(task);
+  if (IsDeadly(job.plan, task) && job.crashes >= kMaxCrashes &&
+      ++job.starts_after_crashes == kMaxCrashes) {
+    m_violations.push_back("budget: " + task + " was started " + std::to_string(kMaxCrashes) +
+                           " times more after " + std::to_string(job.crashes) + " crashes");
+  }
   auto& running_on = m_running[task];
   for (const std::string& other_worker : running_on) {
     if (at >= m_lease_expiries[other_worker]) continue;
@@ -66,6 +81,11 @@
   if (done) job.done.insert(task);
 }
 
+void InvariantChecker::Crashed(const std::string& task) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_jobs.at(JobNameOf(task)).crashes;
+}
+
 void InvariantChecker::SetLeaseExpiry(const std::string& worker, Instant at) {
   std::lock_guard<std::mutex> lock(m_mutex);
   m_lease_expiries[worker] = at;
@@ -100,6 +120,7 @@
   Tally tally;
   tally.starts = m_starts;
   for (const auto& [name, job] : m_jobs) {
+    tally.crashes += static_cast<std::uint32_t>(job.crashes);
     if (!job.answered) continue;
     if (job.end == CallerOutcome::kServed) ++tally.served;
     if (job.end == CallerOutcome::kFailed) ++tally.failed;
@@ -118,7 +139,9 @@
   std::lock_guard<std::mutex> lock(m_mutex);
   FaultFreeJobs fault_free_jobs;
   for (const auto& [name, job] : m_jobs) {
-    if (!job.answered || job.plan.submitted_at < since || job.plan.poison) continue;
+    if (!job.answered || job.plan.submitted_at < since || job.plan.poison || job.plan.deadly) {
+      continue;
+    }
     ++fault_free_jobs.jobs;
     if (job.end != CallerOutcome::kServed) fault_free_jobs.not_served.push_back(name);
   }
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -21,9 +21,13 @@
   std::int64_t milli_cores = 1000;  // of each task
   Duration run_duration{};
   bool poison = false;  // every run of its tasks fails
+  bool deadly = false;  // its first task crashes each worker that starts it
   Instant submitted_at{};
 };
 
+/// @return whether a task of a job crashes each worker that starts it
+bool IsDeadly(const JobPlan& plan, const std::string& task);
+
 /// @brief Final outcome of a job as its caller sees it.
 enum class CallerOutcome { kServed, kFailed, kRefused, kUnanswered };
 
@@ -34,6 +38,7 @@
   std::uint32_t refused = 0;
   std::uint32_t unanswered = 0;
   std::uint32_t starts = 0;
+  std::uint32_t crashes = 0;  // of workers, under deadly tasks
 };
 
 /// @brief Checks the guarantees at each start, end and answer. Thread-safe.
@@ -53,6 +58,8 @@
   void Started(const std::string& worker, std::int64_t capacity, const std::string& task,
                const std::string& payload, Instant at);
   void Ended(const std::string& worker, const std::string& task, bool done);
+  /// @brief A run of a deadly task has crashed its worker.
+  void Crashed(const std::string& task);
   void WorkerRestarted(const std::string& worker);
   /// @brief Sets when the lease of a worker expires. Runs that are recorded for the worker after
   /// this time have ended by the worker's own clock, so that another worker may start their tasks.
@@ -65,7 +72,7 @@
   Tally tally() const;
   std::vector<std::string> violations() const;
   /// @brief Number of jobs submitted after a given time, and the names of those not served. Poison
-  /// jobs do not count.
+  /// and deadly jobs do not count.
   struct FaultFreeJobs {
     std::uint32_t jobs = 0;
     std::vector<std::string> not_served;
@@ -77,6 +84,9 @@
     JobPlan plan;
     std::set<std::string> started;
     std::set<std::string> done;
+    // of its deadly task
+    int crashes = 0;
+    int starts_after_crashes = 0;
     bool answered = false;
     bool all_rejected = false;
     CallerOutcome end = CallerOutcome::kUnanswered;
--- a/tests/soak/node_process.cc
+++ b/tests/soak/node_process.cc
@@ -5,8 +5,11 @@
 #include <spawn.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <utility>
 
 namespace sapphireflow::soak {
@@ -14,7 +17,6 @@
 
 // A signal that arrives before main() has blocked it ends the process.
 constexpr std::chrono::milliseconds kLoadTime(100);
-constexpr std::chrono::milliseconds kKillTime(300);
 
 }  // namespace
 
@@ -51,8 +53,7 @@
   if (failed != 0) m_pid = 0;
   m_started_at = std::chrono::steady_clock::now();
   m_asked_to_end_at.reset();
-  m_killed_at.reset();
-  m_frozen = m_frozen_while_ending = m_signalled_at_start = false;
+  m_killed = m_frozen = m_frozen_while_ending = m_signalled_at_start = false;
   return failed == 0;
 }
 
@@ -60,7 +61,7 @@
   if (!running()) return;
   const Time now = std::chrono::steady_clock::now();
   if (signal == SIGTERM && !m_asked_to_end_at) m_asked_to_end_at = now;
-  if (signal == SIGKILL && !m_killed_at) m_killed_at = now;
+  if (signal == SIGKILL) m_killed = true;
   if (signal == SIGSTOP) m_frozen = true;
   if (signal == SIGCONT) m_frozen = false;
   if (m_frozen && m_asked_to_end_at) m_frozen_while_ending = true;
@@ -79,7 +80,7 @@
 }
 
 std::string NodeProcess::EndProblem() const {
-  if (m_killed_at) return "";
+  if (m_killed) return "";
   if (m_signalled_at_start && (m_exit_code == -SIGTERM || m_exit_code == -SIGHUP)) return "";
   if (!m_asked_to_end_at) return "ended by itself with exit code " + std::to_string(m_exit_code);
   if (m_exit_code == 0) return "";
@@ -87,14 +88,27 @@
 }
 
 bool NodeProcess::MustBeKilled(Duration grace) const {
-  const Time now = std::chrono::steady_clock::now();
   if (!running()) return false;
-  return (m_killed_at && now - *m_killed_at > kKillTime) ||
-         (m_asked_to_end_at && now - *m_asked_to_end_at > grace);
+  return m_killed ||
+         (m_asked_to_end_at && std::chrono::steady_clock::now() - *m_asked_to_end_at > grace);
+}
+
+double NodeProcess::LongestCpuWaitMs() const {
+  constexpr double kNanosPerMilli = 1e6;
+  double longest = 0;
+  std::error_code ignored;
+  const std::string threads = "/proc/" + std::to_string(m_pid) + "/task";
+  for (const auto& thread : std::filesystem::directory_iterator(threads, ignored)) {
+    double ran = 0;
+    double waited = 0;
+    std::ifstream(thread.path() / "schedstat") >> ran >> waited;
+    longest = std::max(longest, waited / kNanosPerMilli);
+  }
+  return longest;
 }
 
 bool NodeProcess::IsOverdue(Duration grace) const {
-  return MustBeKilled(grace) && !m_frozen_while_ending;
+  return MustBeKilled(grace) && !m_killed && !m_frozen_while_ending;
 }
 
 bool NodeProcess::HasEnded() {
--- a/tests/soak/node_process.h
+++ b/tests/soak/node_process.h
@@ -33,11 +33,15 @@
   /// @brief What is wrong with how the last process ended: it was not asked to, or it was stopped
   /// and reported a failure. Empty if nothing is.
   std::string EndProblem() const;
-  /// @return whether the process still runs although it was killed, or was asked to end longer ago
-  /// than `grace`. One that was frozen in between is not overdue.
+  /// @return whether the process still runs although it was asked to end longer ago than `grace`.
+  /// One that was frozen in between is not overdue.
   bool IsOverdue(Duration grace) const;
-  /// @return whether it was asked to end at least `grace` ago and still runs, frozen or not
+  /// @return whether it still runs although it was killed, or was asked to end longer ago than
+  /// `grace`
   bool MustBeKilled(Duration grace) const;
+  /// @brief How long the thread that waited longest for a processor has done so in all. Tells a
+  /// busy machine from a process that hangs.
+  double LongestCpuWaitMs() const;
   /// @brief Exit code of the process that ended last; the negative signal number if a signal ended
   /// it.
   int exit_code() const { return m_exit_code; }
@@ -53,7 +57,7 @@
   // of the process that was started last
   Time m_started_at;
   std::optional<Time> m_asked_to_end_at;
-  std::optional<Time> m_killed_at;
+  bool m_killed = false;
   bool m_frozen = false;
   bool m_frozen_while_ending = false;
   bool m_signalled_at_start = false;
--- a/tests/soak/series_schedule.cc
+++ b/tests/soak/series_schedule.cc
@@ -41,6 +41,9 @@
   if (!only_planned_stops()) {
     const int crashes = RandomBelow(static_cast<int>(std::max<std::size_t>(workers / 2, 2)));
     for (int i = 0; i < crashes; ++i) AddWorkerSeries(RandomWorker(), RandomMillis(0, begin_ms));
+    if (RandomBelow(2) == 0) AddDeadlyJobs(RandomMillis(0, begin_ms));
+    const int shrinkings = RandomBelow(3);
+    for (int i = 0; i < shrinkings; ++i) AddShrinking(RandomWorker(), RandomMillis(0, begin_ms));
     const int others = RandomBelow(4);
     for (int i = 0; i < others; ++i) {
       switch (RandomBelow(3)) {
@@ -132,6 +135,22 @@
   }
 }
 
+void SeriesSchedule::AddDeadlyJobs(Duration at) {
+  const int jobs = 1 + RandomBelow(3);
+  for (int i = 0; i < jobs; ++i) {
+    AddStep(at, "deadly job", [](Fleet& fleet) { fleet.callers().SubmitDeadlyJob(); });
+    at += RandomMillis(0, 500);
+  }
+}
+
+void SeriesSchedule::AddShrinking(std::size_t worker, Duration at) {
+  const std::int64_t smaller = FleetPlan::kMilliCores / (2 + RandomBelow(2));
+  AddStep(at, WithNumber("smaller capacity of worker", worker),
+          [worker, smaller](Fleet& fleet) { fleet.SetCapacity(worker, smaller); });
+  AddStep(at + RandomMillis(5000, 9000), WithNumber("full capacity of worker", worker),
+          [worker](Fleet& fleet) { fleet.SetCapacity(worker, FleetPlan::kMilliCores); });
+}
+
 void SeriesSchedule::AddConfigurationSeries(Duration at) {
   const int changes = 2 + RandomBelow(5);
   for (int i = 0; i < changes; ++i) {
--- a/tests/soak/series_schedule.h
+++ b/tests/soak/series_schedule.h
@@ -17,6 +17,9 @@
  private:
   void AddNodeSeries(std::size_t node, Duration at);
   void AddWorkerSeries(std::size_t worker, Duration at);
+  // jobs whose task crashes each worker that starts it
+  void AddDeadlyJobs(Duration at);
+  void AddShrinking(std::size_t worker, Duration at);
   void AddConfigurationSeries(Duration at);
   void AddSignal(std::size_t node, Duration at, int signal);
   // ends the process by the signal, and starts the next one as soon as the platform would
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -26,6 +26,9 @@
 // all machines are reachable again three seconds after the last fault
 constexpr Duration kMaxRecoveryTime = std::chrono::milliseconds(3000);
 constexpr Duration kFaultFreeTime = std::chrono::milliseconds(2500);
+// how long crashes under a task may go on after the last step
+constexpr Duration kMaxLateFaults = std::chrono::seconds(30);
+constexpr Duration kLateFaultCheck = std::chrono::milliseconds(500);
 // Loads six workers to two fifths of their capacity on average, which leaves free capacity for
 // bursts of large jobs.
 constexpr Duration kArrivalInterval = std::chrono::milliseconds(40);
@@ -77,10 +80,19 @@
     fleet.CheckProcesses();
   }
   WaitUntil(fleet, end);
+  // workers that crashed under a task may return later than the last step
+  constexpr Duration kCalmTime = kMaxRecoveryTime + kFaultFreeTime;
+  const Instant limit = end + kMaxLateFaults;
+  while (!fleet.fault_tracker().NoFaultFor(kCalmTime) && fleet.clock().Now() < limit) {
+    const Instant next = fleet.clock().Now() + kLateFaultCheck;
+    SubmitPeriodically(fleet, next);
+    WaitUntil(fleet, next);
+  }
+  const Instant calm = std::max(begin + last, fleet.fault_tracker().last_end()) + kMaxRecoveryTime;
   fleet.callers().WaitForAll();
   fleet.Stop();
   fleet.checker().Finish();
-  const auto fault_free_jobs = fleet.checker().JobsSubmittedSince(begin + last + kMaxRecoveryTime);
+  const auto fault_free_jobs = fleet.checker().JobsSubmittedSince(calm);
   if (fault_free_jobs.not_served.size() > kMaxUnservedShare * fault_free_jobs.jobs) {
     for (const std::string& job : fault_free_jobs.not_served) {
       fleet.checker().AddViolation("calm: " + job + " was not served although no fault was active");
@@ -90,7 +102,8 @@
   const auto violations = fleet.checker().violations();
   std::cout << (violations.empty() ? "ok   " : "FAIL ") << "seed " << plan.seed << ": served "
             << tally.served << ", failed " << tally.failed << ", refused " << tally.refused
-            << ", unanswered " << tally.unanswered << ", starts " << tally.starts << ", in calm "
+            << ", unanswered " << tally.unanswered << ", starts " << tally.starts << ", crashes "
+            << tally.crashes << ", in calm "
             << fault_free_jobs.jobs - fault_free_jobs.not_served.size() << " of "
             << fault_free_jobs.jobs << "\n";
   for (const std::string& violation : violations) std::cout << "  " << violation << "\n";
--- a/tests/soak/soak_worker.cc
+++ b/tests/soak/soak_worker.cc
@@ -21,21 +21,27 @@
 // this. After a fault, the nodes have kMaxRecoveryTime to recover first.
 constexpr Duration kMaxDrainDelay = std::chrono::milliseconds(2000);
 constexpr Duration kMaxRecoveryTime = std::chrono::milliseconds(3000);
+// a contact timeout and the interval at which the store shows a change
+constexpr Duration kCapacityKnownAfter = std::chrono::milliseconds(4500);
+constexpr int kMaxFuseMs = 100;
 
 }  // namespace
 
 SoakWorker::SoakWorker(std::string id, std::int64_t milli_cores, double speed, double clock_rate,
                        InvariantChecker& checker, const FaultTracker& fault_tracker,
-                       const Clock& clock, TimerThread& timers, std::uint32_t seed)
+                       const Clock& clock, TimerThread& timers, CrashListener& crash_listener,
+                       std::uint32_t seed)
     : m_id(std::move(id)),
-      m_milli_cores(milli_cores),
       m_speed(speed),
       m_clock_rate(clock_rate),
       m_checker(checker),
       m_fault_tracker(fault_tracker),
       m_clock(clock),
       m_timers(timers),
-      m_random(seed) {
+      m_crash_listener(crash_listener),
+      m_random(seed),
+      m_milli_cores(milli_cores),
+      m_counted_milli_cores(milli_cores) {
   Restart();
 }
 
@@ -81,6 +87,20 @@
   m_draining = draining;
 }
 
+void SoakWorker::SetCapacity(std::int64_t milli_cores) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_milli_cores = milli_cores;
+  ++m_capacity_changes;
+  if (milli_cores >= m_counted_milli_cores) {
+    m_counted_milli_cores = milli_cores;
+    return;
+  }
+  m_timers.At(m_clock.Now() + kCapacityKnownAfter, [this, change = m_capacity_changes] {
+    std::lock_guard<std::mutex> timer_lock(m_mutex);
+    if (change == m_capacity_changes) m_counted_milli_cores = m_milli_cores;
+  });
+}
+
 nlohmann::json SoakWorker::Entry(const std::string& address) {
   std::lock_guard<std::mutex> lock(m_mutex);
   return {{"backend", "workshop"},
@@ -167,7 +187,8 @@
   if (expires_ms <= ClockMs()) return {{"reason", "late"}};
   *status = kOk;
   ExtendLeaseLocked(expires_ms);
-  m_checker.Started(m_id, m_milli_cores, task, body.at("spec").get<std::string>(), m_clock.Now());
+  m_checker.Started(m_id, m_counted_milli_cores, task, body.at("spec").get<std::string>(),
+                    m_clock.Now());
   if (m_draining && m_clock.Now() - m_draining_since > kMaxDrainDelay &&
       m_fault_tracker.NoFaultFor(kMaxRecoveryTime)) {
     m_checker.AddViolation("drain: " + task + " was started on " + m_id + ", which is draining");
@@ -179,6 +200,18 @@
             : FromMillis(ToMillis(plan->run_duration) * m_speed * m_faults.run_time_factor);
   const std::uint64_t serial = ++m_serial;
   m_running[task] = Run{number, serial};
+  if (plan != nullptr && IsDeadly(*plan, task)) {
+    const auto fuse =
+        std::chrono::milliseconds(std::uniform_int_distribution<int>(1, kMaxFuseMs)(m_random));
+    m_timers.At(m_clock.Now() + fuse, [this, task, serial] {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      const auto found = m_running.find(task);
+      if (found == m_running.end() || found->second.serial != serial) return;
+      m_checker.Crashed(task);
+      m_crash_listener.OnCrash(m_id);
+    });
+    return Json::object();
+  }
   m_timers.At(m_clock.Now() + length, [this, task, serial, fails] {
     std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_running.find(task);
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -32,6 +32,13 @@
   double lost_answer_share = 0;
 };
 
+/// @brief Is told of a worker's own crash. Called with the worker's lock held.
+class CrashListener {
+ public:
+  virtual ~CrashListener() = default;
+  virtual void OnCrash(const std::string& worker) = 0;
+};
+
 /// @brief Simulates runs by timers. Obeys the holder of the highest fencing token seen so far, and
 /// does not enforce its own capacity, so that the checker can detect an overload. Thread-safe.
 class SoakWorker : public HttpHandler {
@@ -41,7 +48,7 @@
   /// @param clock_rate speed of the worker's own clock relative to `clock`, e.g. 0.98
   SoakWorker(std::string id, std::int64_t milli_cores, double speed, double clock_rate,
              InvariantChecker& checker, const FaultTracker& fault_tracker, const Clock& clock,
-             TimerThread& timers, std::uint32_t seed);
+             TimerThread& timers, CrashListener& crash_listener, std::uint32_t seed);
 
   void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) override;
   void SetFaults(const WorkerFaults& faults);
@@ -49,6 +56,9 @@
   /// no hold request has acknowledged.
   void Restart();
   void SetDraining(bool draining);
+  /// @brief Changes the capacity that the entry states. A smaller one counts for the check only
+  /// after the nodes have had time to learn of it.
+  void SetCapacity(std::int64_t milli_cores);
   /// @brief Returns the worker's entry for the store, with the next sequence number.
   nlohmann::json Entry(const std::string& address);
 
@@ -82,19 +92,23 @@
   bool Chance(double share);
 
   const std::string m_id;
-  const std::int64_t m_milli_cores;
   const double m_speed;
   const double m_clock_rate;
   InvariantChecker& m_checker;
   const FaultTracker& m_fault_tracker;
   const Clock& m_clock;
   TimerThread& m_timers;
+  CrashListener& m_crash_listener;
 
   std::mutex m_mutex;
   // all members below are guarded by m_mutex
   std::mt19937 m_random;
   WorkerFaults m_faults;
   bool m_draining = false;
+  std::int64_t m_milli_cores;
+  // the capacity that starts are checked against
+  std::int64_t m_counted_milli_cores;
+  std::uint64_t m_capacity_changes = 0;
   Instant m_draining_since{};
   Instant m_process_start{};
   std::uint64_t m_incarnation_id = 0;
