--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -32,7 +32,9 @@
 
 /// @brief What happens in a simulated world besides delays, stalls and losses.
 struct FleetFaults {
-  // share of the jobs with a task that crashes each worker that starts it
+  // number of queues, which share the workers
+  std::size_t queues = 1;
+  // share of the first queue's jobs with a task that crashes each worker that starts it
   double crashing_share = 0;
   // longest time from the start of such a task to the crash; the shortest is 10 ms
   int max_fuse_ms = 12;
@@ -41,6 +43,8 @@
   int answer_timeout_ms = 0;
   // members killed and started again
   int member_kills = 0;
+  // kills of the member that last ordered the start of such a task
+  int giver_kills = 0;
   // periods in which one zone is cut off from the others
   int zone_cuts = 0;
   // workers that are cut off from all members, for longer than their leases
@@ -50,8 +54,8 @@
   // smallest number of workers in each zone
   std::size_t min_workers = 1;
   bool Any() const {
-    return crashing_share > 0 || member_kills > 0 || zone_cuts > 0 || worker_cuts > 0 ||
-           shrinkings > 0;
+    return crashing_share > 0 || member_kills > 0 || giver_kills > 0 || zone_cuts > 0 ||
+           worker_cuts > 0 || shrinkings > 0;
   }
 };
 
@@ -241,6 +245,8 @@
   void Execute(std::size_t node, const ResetLink& effect) { Feed(node, LinkDown(effect.peer())); }
 
   void Execute(std::size_t node, const StartRun& order) {
+    const TaskKey& task = order.run().task();
+    if (m_jobs.at(task.job()).crashing_task == task.index()) m_last_giver = node;
     CallWorker(
         node, order.call(), order.timeout(),
         [this, node, order, epoch = m_epochs[node]](CallOutcome outcome) {
@@ -453,6 +459,11 @@
     for (int i = 0; i < m_faults.member_kills; ++i) {
       At(kStart + Millis(1000.0 + Pick(9000)), [this] { KillMember(Pick(m_node_count)); });
     }
+    for (int i = 0; i < m_faults.giver_kills; ++i) {
+      At(kStart + Millis(1000.0 + Pick(9000)), [this] {
+        if (m_last_giver) KillMember(*m_last_giver);
+      });
+    }
     for (int i = 0; i < m_faults.zone_cuts; ++i) {
       const std::size_t zone = Pick(m_zones);
       const Instant from = kStart + Millis(1000.0 + Pick(8000));
@@ -587,10 +598,12 @@
       const StepSpec step(static_cast<std::uint32_t>(1 + Pick(4)),
                           Resources(static_cast<std::int64_t>(2000 * (1 + Pick(5))), 64, 0),
                           Millis(30.0 + Pick(Chance(0.2) ? 900 : 200)), {}, "", "", 0);
+      const std::size_t queue = m_faults.queues > 1 ? Pick(m_faults.queues) : 0;
       job.order = std::make_shared<const JobOrder>(
-          key, "q", kService, std::make_shared<const std::string>("p"), std::vector<StepSpec>{step},
-          0, 3, Millis(400), AnswerTimeout());
-      if (m_faults.crashing_share > 0 && Chance(m_faults.crashing_share)) {
+          key, queue == 0 ? "q" : "q" + std::to_string(queue), kService,
+          std::make_shared<const std::string>("p"), std::vector<StepSpec>{step}, 0, 3, Millis(400),
+          AnswerTimeout());
+      if (queue == 0 && m_faults.crashing_share > 0 && Chance(m_faults.crashing_share)) {
         job.crashing_task = static_cast<std::uint32_t>(Pick(step.count()));
       }
     }
@@ -664,6 +677,8 @@
   Instant m_now = kStart;
   std::multimap<Instant, std::function<void()>> m_events;
   std::size_t m_node_count = 0;
+  // which member last ordered the start of a task that crashes its workers
+  std::optional<std::size_t> m_last_giver;
   std::vector<std::unique_ptr<DispatchNode>> m_nodes;
   // when each stalled node resumes
   std::vector<Instant> m_resume_at;
