--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -130,6 +130,8 @@
   // @return whether it did.
   bool GiveUpCrashing(Job& job, Instant now, JobEffects& out);
   void Admit(const SubmitJobOrder& event, Instant now, JobEffects& out);
+  // whether this process has just stalled and may not have read yet that the job's caller has left
+  bool MayHaveLeft(const Job& job, Instant now) const;
   void UnblockSteps(Job& job) const;
   void PlaceReady(Job& job, Instant now, JobEffects& out);
   void HandleReport(const NodeId& owner, const RunReport& report, Instant now, JobEffects& out);
@@ -149,6 +151,8 @@
   void CancelPlaced(Job& job, Instant now, JobEffects& out) const;
   // repeats the cancels of a closing or refused job until its runs have ended
   void RetryCancels(Job& job, Instant now, JobEffects& out) const;
+  // answers and drops a submission that waits for the last runs of its job to be stopped
+  void AnswerWaiting(Job& job, JobVerdict verdict, JobEffects& out);
   // erases a closing job that has no runs left, and admits its resubmission
   void FinalizeJob(JobKey key, Instant now, JobEffects& out);
   static bool HasRunsLeft(const Job& job);
@@ -162,6 +166,10 @@
 
   mutable std::mutex m_mutex;
   // all below guarded by m_mutex
+  // time of the newest event; not set before the first one
+  std::optional<Instant> m_now;
+  // when this process last went on after a stall
+  Instant m_resumed_at{};
   Jobs m_jobs;
   std::unordered_map<RequestToken, JobKey> m_callers;
   std::unordered_map<JobKey, Finished> m_finished;
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -19,6 +19,14 @@
 constexpr std::uint32_t kMaxRuns = 12;
 // maximum estimated wait for free capacity, as a share of the answer timeout
 constexpr double kMaxWaitShare = 0.4;
+// Ticks arrive every 50 ms. After a longer gap a caller may have left and submitted its job to
+// another entry VM, which takes it more than this.
+constexpr Duration kStallThreshold = std::chrono::milliseconds(1000);
+// How long requests that have waited for a stalled process may be read after it has resumed.
+constexpr Duration kBacklogTime = std::chrono::milliseconds(500);
+// Time between reading a request and reading that its connection is closed; a throttled core stalls
+// for up to 100 ms.
+constexpr Duration kCloseReadTime = std::chrono::milliseconds(100);
 
 const CancelRuns* CancelOf(const JobEffect& effect) {
   const auto* to_owner = std::get_if<SendToOwner>(&effect);
@@ -82,6 +90,8 @@
 JobEffects JobShard::Apply(const JobInput& in) {
   JobEffects out;
   std::lock_guard<std::mutex> lock(m_mutex);
+  if (m_now && in.now() - *m_now > kStallThreshold) m_resumed_at = in.now();
+  m_now = std::max(m_now.value_or(in.now()), in.now());
   std::visit([&](const auto& event) { On(event, in.now(), out); }, in.event());
   MergeCancels(m_self, out);
   return out;
@@ -134,9 +144,7 @@
     Admit(event, now, out);
   } else if (known->second.closing) {
     if (known->second.pending_resubmission) {
-      const RequestToken replaced = known->second.pending_resubmission->token();
-      Answer(replaced, JobVerdict::kExpired, out);
-      m_callers.erase(replaced);
+      AnswerWaiting(known->second, JobVerdict::kExpired, out);
     }
     known->second.pending_resubmission = event;
     m_callers[event.token()] = key;
@@ -205,6 +213,11 @@
   PlaceReady(job, now, out);
 }
 
+bool JobShard::MayHaveLeft(const Job& job, Instant now) const {
+  if (job.received_at - m_resumed_at >= kBacklogTime) return false;
+  return now - std::max(job.received_at, m_resumed_at) < kCloseReadTime;
+}
+
 void JobShard::UnblockSteps(Job& job) const {
   const auto done = [&job](std::uint32_t step) {
     return std::all_of(job.tasks[step].begin(), job.tasks[step].end(),
@@ -224,6 +237,7 @@
   const JobOrder& order = *job.order;
   // if this process has stalled, the caller may have submitted the job to another entry VM
   if (now - job.received_at >= order.answer_timeout()) return;
+  if (MayHaveLeft(job, now)) return;
   if (GiveUpCrashing(job, now, out)) return;
   const WorkerFilter confinement = m_crashes.ConfinementOf(order.queue(), now);
   Batches batches;
@@ -265,13 +279,19 @@
     return;
   }
   const auto found = m_jobs.find(event.job());
-  if (found == m_jobs.end() || found->second.closing) {
+  if (found == m_jobs.end() || (found->second.closing && !found->second.pending_resubmission)) {
     Answer(event.token(), JobVerdict::kNoSuchJob, out);
     return;
   }
   Job& job = found->second;
   if (event.operation() == JobOperation::kState) {
-    Answer(event.token(), job.may_have_run ? JobVerdict::kRunning : JobVerdict::kPending, out);
+    const bool runs = job.may_have_run && !job.closing;
+    Answer(event.token(), runs ? JobVerdict::kRunning : JobVerdict::kPending, out);
+    return;
+  }
+  if (job.closing) {
+    AnswerWaiting(job, JobVerdict::kCancelled, out);
+    Answer(event.token(), JobVerdict::kCancelled, out);
     return;
   }
   Close(job, JobVerdict::kCancelled, std::nullopt, now, out);
