--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -46,6 +46,7 @@
   /// @brief Sets whether planned stops are the only faults of this run. A submission without
   /// an answer is a violation then.
   void SetOnlyPlannedStops(bool only_planned_stops) { m_only_planned_stops = only_planned_stops; }
+  void ResetConnections() { m_http.ResetAll(); }
   /// @brief Blocks until every submitted job has its final outcome.
   void WaitForAll();
 
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -47,6 +47,8 @@
     });
   }
 
+  void Silence() { m_bytes_dropped = true; }
+
   void End() {
     Reset(m_caller);
     Reset(m_callee);
@@ -130,6 +132,14 @@
     });
   }
 
+  void SilenceAll() {
+    asio::post(m_context, [this] {
+      for (const auto& weak : m_proxied_connections) {
+        if (const auto proxied_connection = weak.lock()) proxied_connection->Silence();
+      }
+    });
+  }
+
  private:
   void Accept() {
     m_acceptor.async_accept([this](asio::error_code failed, tcp::socket caller) {
@@ -160,5 +170,6 @@
 FaultProxy::~FaultProxy() = default;
 void FaultProxy::SetFault(LinkFault fault, Duration delay) { m_impl->SetFault(fault, delay); }
 void FaultProxy::ResetAll() { m_impl->ResetAll(); }
+void FaultProxy::SilenceAll() { m_impl->SilenceAll(); }
 
 }  // namespace sapphireflow::soak
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -31,6 +31,8 @@
   void SetFault(LinkFault fault, Duration delay = Duration::zero());
   /// @brief Resets all connections that are open now.
   void ResetAll();
+  /// @brief Makes all connections that are open now silent for good, without a reset.
+  void SilenceAll();
 
  private:
   class Impl;
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -183,6 +183,17 @@
   });
 }
 
+void Fleet::ResetAllConnections() {
+  for (const auto& part : m_workers) part->link->ResetAll();
+  for (const auto& part : m_nodes) part->store_link->ResetAll();
+  m_callers->ResetConnections();
+}
+
+void Fleet::SilenceAllConnections() {
+  for (const auto& part : m_workers) part->link->SilenceAll();
+  for (const auto& part : m_nodes) part->store_link->SilenceAll();
+}
+
 void Fleet::SetCapacity(std::size_t worker, std::int64_t milli_cores) {
   m_workers[worker]->worker->SetCapacity(milli_cores);
   SetRegistered(worker, true);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -56,6 +56,10 @@
   /// @brief Crashes a worker, which cannot be reached until its next incarnation starts seconds
   /// later.
   void OnCrash(const std::string& worker) override;
+  /// @brief Resets all connections of callers and to workers and the store at once, or makes those
+  /// to workers and the store silent for good.
+  void ResetAllConnections();
+  void SilenceAllConnections();
   /// @brief Changes the capacity of a worker and publishes it.
   void SetCapacity(std::size_t worker, std::int64_t milli_cores);
   /// @brief Crashes a worker and starts its next incarnation at once.
--- a/tests/soak/series_schedule.h
+++ b/tests/soak/series_schedule.h
@@ -20,6 +20,10 @@
   // jobs whose task crashes each worker that starts it
   void AddDeadlyJobs(Duration at);
   void AddShrinking(std::size_t worker, Duration at);
+  // all connections at once
+  void AddConnectionLoss(Duration at);
+  // an entry in the list of workers that names no worker to use
+  void AddOddEntry(Duration at);
   void AddConfigurationSeries(Duration at);
   void AddSignal(std::size_t node, Duration at, int signal);
   // ends the process by the signal, and starts the next one as soon as the platform would
--- a/tests/soak/soak_store.cc
+++ b/tests/soak/soak_store.cc
@@ -48,6 +48,11 @@
   Write(key, Base64(value.dump()), 0);
 }
 
+void SoakStore::PutBytes(const std::string& key, const std::string& bytes) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  Write(key, Base64(bytes), 0);
+}
+
 void SoakStore::Remove(const std::string& key) {
   std::lock_guard<std::mutex> lock(m_mutex);
   Erase(key);
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -39,6 +39,8 @@
   /// @brief Writes or removes a key on behalf of the platform, without the checks of a client's
   /// transaction.
   void Put(const std::string& key, const nlohmann::json& value);
+  /// @brief Writes a key with bytes that need not be JSON.
+  void PutBytes(const std::string& key, const std::string& bytes);
   void Remove(const std::string& key);
   /// @brief Discards the history: a watch from an earlier revision is answered with 410.
   void CompactHistory();
