--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -77,6 +77,11 @@
   return {kSlotZeroNetwork + kSlotSize * m_plan.slot + host, port};
 }
 
+std::string Fleet::ZoneOf(std::uint32_t index) const {
+  const std::uint32_t zone = index % m_plan.zones;
+  return zone == 0 ? "celaya" : "zone-" + std::to_string(zone + 1);
+}
+
 void Fleet::AddWorker(std::uint32_t index) {
   auto part = std::make_unique<WorkerPart>();
   const std::uint32_t host = kFirstWorker + index;
@@ -84,8 +89,8 @@
   const double clock_rate = index % 2 == 0 ? 1.0 : 0.98;
   const double speed = 0.7 + 0.3 * (index % 3);
   part->worker = std::make_unique<SoakWorker>(
-      "w-" + std::to_string(index + 1), FleetPlan::kMilliCores, speed, clock_rate, m_checker,
-      m_fault_tracker, m_clock, m_timers, *this, m_plan.seed + index);
+      "w-" + std::to_string(index + 1), ZoneOf(index), FleetPlan::kMilliCores, speed, clock_rate,
+      m_checker, m_fault_tracker, m_clock, m_timers, *this, m_plan.seed + index);
   part->server = std::make_unique<HttpServer>(SlotAddress(host, kWorkerPort), 1, *part->worker);
   part->registered_address = SlotAddress(host, kWorkerLinkPort);
   part->link =
@@ -112,8 +117,8 @@
   std::string path = m_plan.folder + "/" + name + ".conf";
   const std::uint32_t host = kFirstNode + index;
   std::ofstream(path) << "node_name=" << name << "\nip=" << SlotAddress(host, 0).host()
-                      << "\nzone=celaya\nlisten_addresses.front="
-                      << SlotAddress(host, kFrontPort).text()
+                      << "\nzone=" << ZoneOf(index)
+                      << "\nlisten_addresses.front=" << SlotAddress(host, kFrontPort).text()
                       << "\nlisten_addresses.ready=" << SlotAddress(host, kReadyPort).text()
                       << "\ninternal_port_range=7720,7735\nlimits.cpu_share=0.25\nlimits.cores=1\n"
                       << "bounds.max_hold_ms=1000\nbounds.grace_period_s=6\n"
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -23,6 +23,9 @@
 
 /// @brief Size, addresses and files of a fleet.
 struct FleetPlan {
+  // as many as have an address in a slot
+  static constexpr std::uint32_t kMaxNodes = 59;
+  static constexpr std::uint32_t kMaxWorkers = 140;
   // of each worker
   static constexpr std::int64_t kMilliCores = 16000;
   std::string program;
@@ -31,6 +34,8 @@
   std::uint32_t slot = 0;
   std::uint32_t nodes = 4;
   std::uint32_t workers = 6;
+  // nodes and workers are spread over the zones in turn
+  std::uint32_t zones = 1;
   std::uint32_t seed = 1;
   // Callers connect to the nodes without a proxy, so that connections to a stopped process are
   // refused. A proxy would accept them.
@@ -107,6 +112,7 @@
     Address readiness;
   };
 
+  std::string ZoneOf(std::uint32_t index) const;
   Address SlotAddress(std::uint32_t host, std::uint16_t port) const;
   void AddWorker(std::uint32_t index);
   void AddNode(std::uint32_t index);
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -29,9 +29,9 @@
 // how long crashes under a task may go on after the last step
 constexpr Duration kMaxLateFaults = std::chrono::seconds(30);
 constexpr Duration kLateFaultCheck = std::chrono::milliseconds(500);
-// Loads six workers to two fifths of their capacity on average, which leaves free capacity for
+// Loads the workers to two fifths of their capacity on average, which leaves free capacity for
 // bursts of large jobs.
-constexpr Duration kArrivalInterval = std::chrono::milliseconds(40);
+constexpr Duration kArrivalIntervalOfOneWorker = std::chrono::milliseconds(240);
 // Every job that is submitted while no fault is active has to be served; a thousandth of them may
 // miss that by chance.
 constexpr double kMaxUnservedShare = 0.001;
@@ -45,7 +45,7 @@
 void SubmitPeriodically(Fleet& fleet, Instant until) {
   if (fleet.clock().Now() >= until) return;
   fleet.callers().SubmitRandomJob();
-  fleet.timers().At(fleet.clock().Now() + kArrivalInterval,
+  fleet.timers().At(fleet.clock().Now() + kArrivalIntervalOfOneWorker / fleet.workers(),
                     [&fleet, until] { SubmitPeriodically(fleet, until); });
 }
 
@@ -130,9 +130,15 @@
   TCLAP::ValueArg<std::uint32_t> nodes("n", "nodes", "number of nodes", false, 4, "count", command);
   TCLAP::ValueArg<std::uint32_t> workers("w", "workers", "number of workers", false, 6, "count",
                                          command);
+  TCLAP::ValueArg<std::uint32_t> zones("z", "zones", "number of zones", false, 1, "count", command);
   TCLAP::SwitchArg show("v", "show", "print each step as it is executed", command);
   TCLAP::SwitchArg series("", "series", "signals, restarts and changes in series", command);
   command.parse(argc, argv);
+  if (nodes.getValue() > FleetPlan::kMaxNodes || workers.getValue() > FleetPlan::kMaxWorkers) {
+    std::cerr << "a slot has addresses for " << FleetPlan::kMaxNodes << " nodes and "
+              << FleetPlan::kMaxWorkers << " workers\n";
+    return 2;
+  }
   std::signal(SIGPIPE, SIG_IGN);
   std::uint32_t failed = 0;
   for (std::uint32_t i = 0; i < count.getValue(); ++i) {
@@ -143,6 +149,7 @@
     plan.slot = slot.getValue();
     plan.nodes = nodes.getValue();
     plan.workers = workers.getValue();
+    plan.zones = std::max(1U, zones.getValue());
     if (!RunSeed(plan, series.getValue(), show.getValue())) ++failed;
   }
   std::cout << count.getValue() - failed << " passed, " << failed << " failed\n";
--- a/tests/soak/soak_worker.cc
+++ b/tests/soak/soak_worker.cc
@@ -27,11 +27,12 @@
 
 }  // namespace
 
-SoakWorker::SoakWorker(std::string id, std::int64_t milli_cores, double speed, double clock_rate,
-                       InvariantChecker& checker, const FaultTracker& fault_tracker,
-                       const Clock& clock, TimerThread& timers, CrashListener& crash_listener,
-                       std::uint32_t seed)
+SoakWorker::SoakWorker(std::string id, std::string zone, std::int64_t milli_cores, double speed,
+                       double clock_rate, InvariantChecker& checker,
+                       const FaultTracker& fault_tracker, const Clock& clock, TimerThread& timers,
+                       CrashListener& crash_listener, std::uint32_t seed)
     : m_id(std::move(id)),
+      m_zone(std::move(zone)),
       m_speed(speed),
       m_clock_rate(clock_rate),
       m_checker(checker),
@@ -105,7 +106,7 @@
   std::lock_guard<std::mutex> lock(m_mutex);
   return {{"backend", "workshop"},
           {"address", address},
-          {"zone", "celaya"},
+          {"zone", m_zone},
           {"version", "v1"},
           {"slots", 8},
           {"state", m_draining ? "draining" : "ready"},
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -46,9 +46,10 @@
   /// All references must outlive the worker.
   /// @param speed factor on the run time of each job; above 1 means slower
   /// @param clock_rate speed of the worker's own clock relative to `clock`, e.g. 0.98
-  SoakWorker(std::string id, std::int64_t milli_cores, double speed, double clock_rate,
-             InvariantChecker& checker, const FaultTracker& fault_tracker, const Clock& clock,
-             TimerThread& timers, CrashListener& crash_listener, std::uint32_t seed);
+  SoakWorker(std::string id, std::string zone, std::int64_t milli_cores, double speed,
+             double clock_rate, InvariantChecker& checker, const FaultTracker& fault_tracker,
+             const Clock& clock, TimerThread& timers, CrashListener& crash_listener,
+             std::uint32_t seed);
 
   void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) override;
   void SetFaults(const WorkerFaults& faults);
@@ -92,6 +93,7 @@
   bool Chance(double share);
 
   const std::string m_id;
+  const std::string m_zone;
   const double m_speed;
   const double m_clock_rate;
   InvariantChecker& m_checker;
