Soak: a request sent right before a process ends may be cut off

Trace: the job was submitted between 0.447 and 0.527 s (its neighbours' answers less their times), node 2 was through with its drain at 0.491 s, 3.7 s after SIGTERM, and no worker was given a task before the second submission at another node, 1.5 s later. LOST counts a request from 200 ms (loss_slack_ms) on, or once it has been passed on to a worker.

--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -57,6 +57,7 @@
     std::string queue;
     Duration deadline{};
     std::uint32_t attempt_count = 0;
+    Instant sent_at{};
     bool all_rejected = true;
   };
   using SubmittedJobPtr = std::shared_ptr<SubmittedJob>;
--- a/tests/soak/invariant_checker.cc
+++ b/tests/soak/invariant_checker.cc
@@ -25,6 +25,11 @@
   return found == m_jobs.end() ? nullptr : &found->second.plan;
 }
 
+bool InvariantChecker::HasStarted(const std::string& job) const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return !m_jobs.at(job).started.empty();
+}
+
 void InvariantChecker::Answered(const std::string& job, CallerOutcome end, bool all_rejected) {
   std::lock_guard<std::mutex> lock(m_mutex);
   Job& record = m_jobs.at(job);
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -49,6 +49,8 @@
   /// @brief A caller has the final outcome of a job.
   /// @param all_rejected whether every submission was refused
   void Answered(const std::string& job, CallerOutcome end, bool all_rejected);
+  /// @return whether a worker has started a task of a job
+  bool HasStarted(const std::string& job) const;
   /// @return the plan of a job, or null if no caller submitted it
   const JobPlan* Find(const std::string& job) const;
 
