--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -46,6 +46,7 @@
   /// @brief Sets whether planned stops are the only faults of this run. A submission without
   /// an answer is a violation then.
   void SetOnlyPlannedStops(bool only_planned_stops) { m_only_planned_stops = only_planned_stops; }
+  void ResetConnections() { m_http.ResetAll(); }
   /// @brief Blocks until every submitted job has its final outcome.
   void WaitForAll();
 
@@ -56,6 +57,7 @@
     std::string queue;
     Duration deadline{};
     std::uint32_t attempt_count = 0;
+    Instant sent_at{};
     bool all_rejected = true;
   };
   using SubmittedJobPtr = std::shared_ptr<SubmittedJob>;
