--- a/tests/unit/fleet_faults.h
+++ b/tests/unit/fleet_faults.h
@@ -64,6 +64,8 @@
   int store_lapses = 0;
   // largest relative slowness of the workers' clocks
   double clock_slowness = 0;
+  // whether workers crash under tasks that don't cause it
+  bool CrashesAtRandom() const { return worker_crashes > 0 || partial_worker_cuts > 0; }
   bool Literal() const {
     return literal || partial_worker_cuts > 0 || worker_crashes > 0 || resets > 0 ||
            late_periods > 0 || freezes > 0 || giver_losses > 0 || slowings > 0 || link_cuts > 0 ||
