--- a/tests/unit/fleet_faults.h
+++ b/tests/unit/fleet_faults.h
@@ -50,6 +50,9 @@
   int late_periods = 0;
   // members frozen for 1 to 5 s
   int freezes = 0;
+  // whether members that resume from a stall read first what other members sent, then what callers
+  // sent, and last that callers have left, as several threads may
+  bool callers_read_last = false;
   // the member that gave the last order frozen or killed
   int giver_losses = 0;
   // members that handle all events 50 to 500 ms late for some seconds
--- a/tests/unit/unit-concurrent_runs.cpp
+++ b/tests/unit/unit-concurrent_runs.cpp
@@ -121,6 +121,14 @@
   RunSeeds(1, 2, 1, Everything());
 }
 
+// Run by name before a merge. A member that resumed ran the jobs of callers who had left.
+TEST_CASE("no task runs twice when members resume and read last that callers left", "[.twice]") {
+  FleetFaults faults = Only(&FleetFaults::freezes, 8);
+  faults.answer_timeout_ms = 1500;
+  faults.callers_read_last = true;
+  RunSeeds(1, 250, 1, faults);
+}
+
 // Run by name before a merge.
 TEST_CASE("no task runs twice, each fault by itself, over many seeds", "[.twice]") {
   RunMany(Only(&FleetFaults::partial_worker_cuts, 6));
