Start nothing by a list of workers from before a stall

Callers saw LIMIT: an owner that resumed from stalls of seconds started runs by the capacity that it had known before; the worker's smaller size had begun to count meanwhile. Nothing made an owner, or its relay, confirm the list of workers.

A list is now as of a moment by this VM's clock: a reader's request, or the heartbeat that a relay's offer echoes, less the age that the relay tells (a new field; earlier versions count as 2.5 s). An owner starts nothing by a list that is older than 2.5 s, or newer than the one in force, and offers no capacity then. A VM that has run for 1.4 s with an overdue list goes on with it, as the store may be down. Relays read every 0.8 s from request to request, at once after a stall. An older list no longer replaces a newer one, and a VM that is a relay again offers another version than in its earlier term.

--- a/include/sapphireflow/transport/directory_watch.h
+++ b/include/sapphireflow/transport/directory_watch.h
@@ -66,9 +66,11 @@
   std::atomic<bool> m_members_read{false};
   std::atomic<std::uint64_t> m_lease{0};
   std::mutex m_mutex;
-  // both guarded by m_mutex; the directory is empty until it has been read
+  // all guarded by m_mutex; the directory is empty until it has been read
   WorkerDirectory m_workers;
   bool m_workers_read = false;
+  // when the newest answered request for workers was sent
+  Instant m_workers_as_of{};
 };
 
 }  // namespace sapphireflow
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -282,8 +282,9 @@
   return true;
 }
 
-void MemberTable::SetWorkers(const WorkerListings& workers) {
+void MemberTable::SetWorkers(const WorkerListings& workers, WorkerListRevision revision) {
   std::lock_guard<std::mutex> lock(m_mutex);
+  m_workers_revision = revision;
   m_workers.clear();
   for (const WorkerListing& worker : workers) m_workers.emplace(worker.id(), worker);
 }
@@ -294,14 +295,20 @@
   return found == m_members.end() ? 0 : found->second.heard_sequence;
 }
 
-bool MemberTable::IsFresh(const NodeId& sender, std::uint64_t echo, Instant now) const {
+std::optional<Instant> MemberTable::SentAt(const NodeId& member, std::uint64_t echo) const {
   std::lock_guard<std::mutex> lock(m_mutex);
-  const auto found = m_members.find(sender.address());
-  if (found == m_members.end()) return false;
+  const auto found = m_members.find(member.address());
+  if (found == m_members.end()) return std::nullopt;
   const auto& sent = found->second.sent;
   const auto echoed_heartbeat = std::find_if(
       sent.begin(), sent.end(), [echo](const auto& item) { return item.first == echo; });
-  return echoed_heartbeat != sent.end() && now - echoed_heartbeat->second <= kMaxOrderAge;
+  if (echoed_heartbeat == sent.end()) return std::nullopt;
+  return echoed_heartbeat->second;
+}
+
+bool MemberTable::IsFresh(const NodeId& sender, std::uint64_t echo, Instant now) const {
+  const auto sent_at = SentAt(sender, echo);
+  return sent_at && now - *sent_at <= kMaxOrderAge;
 }
 
 std::vector<OutgoingHeartbeat> MemberTable::DueHeartbeats(Instant now) {
@@ -374,7 +381,7 @@
   // An isolated VM takes over no workers, because their owners may still be serving them.
   const ZoneRoles& roles = RolesInForce();
   const Address& self = m_self.node().address();
-  if (!roles.IsOwner(self)) return {std::move(own), std::move(standby_workers)};
+  if (!roles.IsOwner(self)) return {std::move(own), std::move(standby_workers), m_workers_revision};
   std::map<std::string, bool> may_own;
   const auto is_candidate = [&self](const HomeCandidate& owner) { return owner.address() == self; };
   for (const auto& [id, worker] : m_workers) {
@@ -389,7 +396,7 @@
       standby_workers.insert(id);
     }
   }
-  return {std::move(own), std::move(standby_workers)};
+  return {std::move(own), std::move(standby_workers), m_workers_revision};
 }
 
 std::optional<NodeId> MemberTable::OwnerOf(const WorkerId& worker) const {
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -47,11 +47,16 @@
   int worker_cuts = 0;
   // how often a worker's capacity shrinks for some seconds
   int shrinkings = 0;
+  // whether they shrink to 0.3 to 0.8, for any time, some before the change before counts, and at
+  // times all at once to an eighth
+  bool varied_shrinkings = false;
+  // members that stall for 1 to 5 s, several times in a row
+  int stall_series = 0;
   // smallest number of workers in each zone
   std::size_t min_workers = 1;
   bool Any() const {
     return crashing_share > 0 || member_kills > 0 || zone_cuts > 0 || worker_cuts > 0 ||
-           shrinkings > 0;
+           shrinkings > 0 || stall_series > 0;
   }
 };
 
@@ -109,7 +114,7 @@
     }
     for (const auto& [address, worker] : m_workers) m_listings.emplace(address, ListingOf(worker));
     for (std::size_t i = 0; i < m_node_count; ++i) {
-      Feed(i, WorkersListed(CurrentListings()));
+      Feed(i, WorkersListed(CurrentListings(), m_now));
       Feed(i, MembersListed(m_members));
       Tick(i);
     }
@@ -442,7 +447,7 @@
   // the platform's store, as the members that read the list of workers see it
   void PublishWorkers() {
     for (std::size_t i = 0; i < m_node_count; ++i) {
-      if (m_nodes[i]->ReadsWorkers(m_now)) Feed(i, WorkersListed(CurrentListings()));
+      if (m_nodes[i]->ReadsWorkers(m_now)) Feed(i, WorkersListed(CurrentListings(), m_now));
       Feed(i, StoreAnswered());
     }
     After(Millis(400), [this] { PublishWorkers(); });
@@ -464,8 +469,20 @@
          [this] { PickWorker().cut_until = m_now + Millis(1500.0 + Pick(5000)); });
     }
     for (int i = 0; i < m_faults.shrinkings; ++i) {
-      At(kStart + Millis(500.0 + Pick(8000)), [this] { Shrink(PickWorker()); });
+      At(kStart + Millis(500.0 + Pick(8000)),
+         [this] { m_faults.varied_shrinkings ? ShrinkSome() : Shrink(PickWorker()); });
     }
+    for (int i = 0; i < m_faults.stall_series; ++i) {
+      At(kStart + Millis(500.0 + Pick(9000)), [this] { Stall(Pick(m_node_count), 1 + Pick(3)); });
+    }
+  }
+
+  // Stalls of a member, with less than a tick between them.
+  void Stall(std::size_t node, std::size_t count) {
+    const Instant resume_at = m_now + Millis(1000.0 + Pick(4000));
+    m_resume_at[node] = std::max(m_resume_at[node], resume_at);
+    if (count <= 1) return;
+    At(resume_at + Millis(1.0 + Pick(40)), [this, node, count] { Stall(node, count - 1); });
   }
 
   FleetWorker& PickWorker() {
@@ -520,6 +537,17 @@
     SetCapacity(worker, kCapacity / 2);
     After(Millis(6000.0 + Pick(6000)), [this, &worker] { SetCapacity(worker, kCapacity); });
   }
+  void ShrinkSome() {
+    const bool all = Chance(0.15);
+    const auto capacity =
+        all ? kCapacity / 8 : kCapacity * static_cast<std::int64_t>(3 + Pick(6)) / 10;
+    const FleetWorker& picked = PickWorker();
+    for (auto& [address, worker] : m_workers) {
+      if (!all && address != picked.address) continue;
+      SetCapacity(worker, capacity);
+      After(Millis(500.0 + Pick(9000)), [this, &worker] { SetCapacity(worker, kCapacity); });
+    }
+  }
   void SetCapacity(FleetWorker& worker, std::int64_t capacity) {
     worker.capacity = capacity;
     const std::uint32_t change = ++worker.capacity_changes;
@@ -546,7 +574,7 @@
       if (!IsCut(i, node)) Feed(i, LinkDown(address));
       After(Millis(Pick(1500)), [this, i] { Feed(i, MembersListed(m_members)); });
     }
-    Feed(node, WorkersListed(CurrentListings()));
+    Feed(node, WorkersListed(CurrentListings(), m_now));
     Feed(node, MembersListed(m_members));
     // callers see a broken connection
     std::vector<JobKey> broken;
