--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -310,8 +310,7 @@
   MemberHeartbeat(MemberListing from, bool draining, std::uint64_t sequence, std::uint64_t echo,
                   std::uint64_t link_losses, std::uint64_t configuration_version,
                   std::uint64_t token_floor, bool parting = false,
-                  WorkerListVersion worker_list_version = 0,
-                  Duration worker_list_age = Duration::zero())
+                  WorkerListVersion worker_list_version = 0)
       : m_from(std::move(from)),
         m_draining(draining),
         m_sequence(sequence),
@@ -320,8 +319,7 @@
         m_configuration_version(configuration_version),
         m_token_floor(token_floor),
         m_parting(parting),
-        m_worker_list_version(worker_list_version),
-        m_worker_list_age(worker_list_age) {}
+        m_worker_list_version(worker_list_version) {}
   const MemberListing& from() const { return m_from; }
   bool draining() const { return m_draining; }
   std::uint64_t sequence() const { return m_sequence; }
@@ -338,11 +336,9 @@
   bool parting() const { return m_parting; }
   /// @brief Version of the list of workers that the sender offers as a relay; 0 if it offers none.
   WorkerListVersion worker_list_version() const { return m_worker_list_version; }
-  /// @brief How long ago, at most, the store had what that list says.
-  Duration worker_list_age() const { return m_worker_list_age; }
   auto Fields() const {
     return std::tie(m_from, m_draining, m_sequence, m_echo, m_link_losses, m_configuration_version,
-                    m_token_floor, m_parting, m_worker_list_version, m_worker_list_age);
+                    m_token_floor, m_parting, m_worker_list_version);
   }
 
  private:
@@ -355,7 +351,6 @@
   std::uint64_t m_token_floor;
   bool m_parting;
   WorkerListVersion m_worker_list_version;
-  Duration m_worker_list_age;
 };
 
 /// @brief Owner to the members of its zone and to the relays of other zones: the free capacity of
--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -102,12 +102,10 @@
   /// @brief Keeps a member as a contact for some seconds, because runs are placed there.
   /// @return whether it has only now become one; a heartbeat to it is due at once.
   bool RequestContact(const NodeId& member, Instant now);
-  void SetWorkers(const WorkerListings& workers, WorkerListRevision revision = 0);
+  void SetWorkers(const WorkerListings& workers);
 
   /// @return sequence number of the newest heartbeat received from a member; 0 for none.
   std::uint64_t HeardSequence(const NodeId& member) const;
-  /// @return when this VM sent the heartbeat that the member echoes; empty if that was long ago.
-  std::optional<Instant> SentAt(const NodeId& member, std::uint64_t echo) const;
   /// @brief Whether this VM sent the heartbeat that an order echoes to its sender recently, which
   /// bounds the order's age by this VM's clock. Network partitions and frozen processes delay
   /// messages by seconds, so older orders must be rejected. False for a sender that counts as lost.
@@ -192,7 +190,6 @@
   // all members below are guarded by m_mutex; keyed by address
   std::map<Address, Member> m_members;
   std::map<WorkerId, WorkerListing> m_workers;
-  WorkerListRevision m_workers_revision = 0;
   // roles of all members, of those that are not draining, and of the reachable ones among these
   ZoneRoles m_nominal;
   ZoneRoles m_primary;
--- a/include/sapphireflow/membership/worker_assignment.h
+++ b/include/sapphireflow/membership/worker_assignment.h
@@ -6,7 +6,6 @@
 #include <tuple>
 #include <utility>
 
-#include "sapphireflow/membership/list_freshness.h"
 #include "sapphireflow/model/comparable.h"
 #include "sapphireflow/model/worker_listing.h"
 
@@ -15,24 +14,18 @@
 /// @brief The workers that a VM, or one of its shards, owns from now on.
 class WorkerAssignment : public Comparable<WorkerAssignment> {
  public:
-  /// @param revision of the list of workers from which the assignment was made
-  WorkerAssignment(WorkerListings workers, std::set<WorkerId> standby_workers,
-                   WorkerListRevision revision = 0)
-      : m_workers(std::move(workers)),
-        m_standby_workers(std::move(standby_workers)),
-        m_revision(revision) {}
+  WorkerAssignment(WorkerListings workers, std::set<WorkerId> standby_workers)
+      : m_workers(std::move(workers)), m_standby_workers(std::move(standby_workers)) {}
   const WorkerListings& workers() const { return m_workers; }
   /// @brief Workers that this VM owns as their standby owner, while their primary owner is
   /// unreachable. If the primary owner fences this VM, it is alive and has priority. May contain
   /// workers of other shards.
   const std::set<WorkerId>& standby_workers() const { return m_standby_workers; }
-  WorkerListRevision revision() const { return m_revision; }
-  auto Fields() const { return std::tie(m_workers, m_standby_workers, m_revision); }
+  auto Fields() const { return std::tie(m_workers, m_standby_workers); }
 
  private:
   WorkerListings m_workers;
   std::set<WorkerId> m_standby_workers;
-  WorkerListRevision m_revision;
 };
 
 }  // namespace sapphireflow
--- a/include/sapphireflow/membership/worker_list.h
+++ b/include/sapphireflow/membership/worker_list.h
@@ -6,10 +6,8 @@
 #include <map>
 #include <mutex>
 #include <optional>
-#include <utility>
 
 #include "sapphireflow/dispatch/worker_list_message.h"
-#include "sapphireflow/membership/list_freshness.h"
 #include "sapphireflow/model/ids.h"
 #include "sapphireflow/model/time.h"
 #include "sapphireflow/model/worker_listing.h"
@@ -22,49 +20,32 @@
 /// reader in proportion to the whole fleet. Only the relays do; they pass on what really changes.
 /// A VM follows one relay at a time, and another one or the store itself once that relay is silent
 /// or does not reach the store.
-///
-/// A VM may have been stalled, and so may its relay. The list is as of a moment by this VM's clock:
-/// it has every change that the store had by then. Without a source it ages, until it is clear that
-/// this VM runs and nobody answers; from then on the last list holds.
-class WorkerList : public ListFreshness {
+class WorkerList {
  public:
   explicit WorkerList(const NodeId& self) : m_self(self) {}
 
   /// @brief Replaces the list by one read from the store, unless a relay is being followed.
   /// @param is_relay whether this VM passes the list on, and so follows no relay itself
-  /// @param read_at when the request that read the list was sent
   /// @return the changes, with consecutive versions; empty if there are none.
   std::optional<WorkerListUpdate> OnRead(const WorkerListings& listings, bool is_relay,
-                                         Instant read_at, Instant now);
+                                         Instant now);
   /// @brief Handles a heartbeat of a relay that offers its list.
   /// @param version the relay's version; 0 withdraws the offer
-  /// @param as_of a moment up to which that version has all changes; `Instant{}` if unknown
   /// @return whether the whole list must be requested from the relay.
-  bool OnOffer(const NodeId& relay, WorkerListVersion version, Instant as_of, Instant now);
+  bool OnOffer(const NodeId& relay, WorkerListVersion version, Instant now);
   /// @brief Applies an update of the relay that is being followed.
   /// @return whether the list has changed.
   bool OnUpdate(const WorkerListUpdate& update, Instant now);
-  /// @brief Measures how long this VM has waited for a recent list while it was running.
-  void OnTick(Instant now);
-  /// @brief Whether the list is recent, or nobody can tell anything newer.
-  bool IsFresh(WorkerListRevision in_force, Instant now) const override;
-  Duration Age(Instant now) const;
   /// @brief Whether a relay is being followed, or may still offer its list to a VM that has just
   /// started.
   bool HasSource(Instant now) const;
   /// @return the version of this VM's own reading; 0 before the first one.
   WorkerListVersion own_version() const;
   WorkerListUpdate Snapshot() const;
-  WorkerListings Current() const { return CurrentWithRevision().first; }
-  std::pair<WorkerListings, WorkerListRevision> CurrentWithRevision() const;
+  WorkerListings Current() const;
 
  private:
   bool HasSourceLocked(Instant now) const;
-  // whether the source was heard lately, however old its list
-  bool HearsSourceLocked(Instant now) const;
-  // whether the source of the list has not confirmed it in time
-  bool SeeksSourceLocked() const;
-  void SetAsOf(Instant as_of, Instant now);
   // returns whether the list has changed
   bool ApplyChange(const WorkerChange& change);
 
@@ -80,15 +61,6 @@
   // when the source last offered its list; at first, when this VM began to wait for one
   mutable std::optional<Instant> m_source_heard_at;
   Instant m_requested_at{};
-  // the newest offer of the source
-  WorkerListVersion m_offered_version = 0;
-  Instant m_offered_as_of{};
-  WorkerListRevision m_revision = 0;
-  // the list has all changes that the store had by then
-  Instant m_as_of{};
-  Instant m_ticked_at{};
-  // how long this VM has run, without long stalls, since the list became overdue
-  Duration m_overdue_for{};
 };
 
 }  // namespace sapphireflow
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "sapphireflow/dispatch/capacity_view.h"
-#include "sapphireflow/membership/list_freshness.h"
 #include "sapphireflow/ownership/detail/worker_session.h"
 #include "sapphireflow/ownership/owner_event.h"
 #include "sapphireflow/ownership/speed_estimator.h"
@@ -51,11 +50,9 @@
   /// @param next_call counter of call numbers, shared by all shards
   /// @param peer_capacity what other owners offer
   /// @param crashes which tasks may crash their workers
-  /// @param list whether the listings of the workers are recent
   OwnerShard(const NodeId& self, const LeaseLimits& limits, OwnerPolicies policies,
              TokenSource& tokens, std::atomic<CallNumber>& next_call,
-             const CapacityView& peer_capacity, const CrashHistory& crashes,
-             const ListFreshness& list);
+             const CapacityView& peer_capacity, const CrashHistory& crashes);
 
   OwnerEffects Apply(const OwnerInput& in) override;
 
@@ -94,8 +91,6 @@
   void RedirectNewRuns();
   void DeclineOverdue(Instant now);
   void StartWaiting(Instant now, OwnerEffects& out);
-  // logs when starts begin or cease to wait for a recent list of workers
-  void LogFreshness(Instant now, OwnerEffects& out);
   bool TryStart(const WaitingRun& waiting, const std::set<WorkerId>& reserved, Instant now,
                 OwnerEffects& out);
   // Workers on which nothing else starts until a waiting run can have them alone: those with the
@@ -129,17 +124,12 @@
   std::atomic<CallNumber>& m_next_call;
   const CapacityView& m_peer_capacity;
   const CrashHistory& m_crashes;
-  const ListFreshness& m_list;
 
   mutable std::mutex m_mutex;
   // all below guarded by m_mutex
   OwnerPolicies m_policies;
   SpeedEstimator m_speeds;
   std::map<WorkerId, OwnedWorker> m_workers;
-  // revision of the list of workers that their listings are from
-  WorkerListRevision m_list_revision = 0;
-  // whether that list is known to be too old, as last logged
-  bool m_list_outdated = false;
   std::vector<WaitingRun> m_waiting;
   // runs recently released to other owners, for coordinators that missed the report
   struct Released {
--- a/include/sapphireflow/routing/dispatch_event.h
+++ b/include/sapphireflow/routing/dispatch_event.h
@@ -16,16 +16,12 @@
 /// @brief A full snapshot of the workers listed in the directory.
 class WorkersListed : public Comparable<WorkersListed> {
  public:
-  /// @param read_at when the request that read the list was sent; the list has all changes before
-  WorkersListed(WorkerListings workers, Instant read_at)
-      : m_workers(std::move(workers)), m_read_at(read_at) {}
+  explicit WorkersListed(WorkerListings workers) : m_workers(std::move(workers)) {}
   const WorkerListings& workers() const { return m_workers; }
-  Instant read_at() const { return m_read_at; }
-  auto Fields() const { return std::tie(m_workers, m_read_at); }
+  auto Fields() const { return std::tie(m_workers); }
 
  private:
   WorkerListings m_workers;
-  Instant m_read_at;
 };
 
 /// @brief A full snapshot of the members listed in the directory.
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -93,8 +93,6 @@
   void Receive(const WorkerListRequest& message, EventContext& ctx);
   void Receive(const CrashNotice& message, EventContext& ctx);
 
-  // follows the list of workers that a relay of this VM's zone offers
-  void HandleOffer(const MemberHeartbeat& message, EventContext& ctx);
   void HandleMemberChanges(const MemberChanges& changes, EventContext& ctx);
   // records a loss seen by this VM and tells its zone and the relays of the others
   void RecordLoss(const WorkerLoss& loss, EventContext& ctx);
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -13,9 +13,6 @@
 namespace sapphireflow {
 namespace {
 
-// A relay of an earlier version offers its list for this long after the store's last answer.
-constexpr Duration kUntoldListAge = std::chrono::milliseconds(2500);
-
 using detail::Json;
 using detail::ReadList;
 
@@ -178,8 +175,7 @@
           m.configuration_version(),
           m.token_floor(),
           m.parting(),
-          m.worker_list_version(),
-          ToMillis(m.worker_list_age())};
+          m.worker_list_version()};
 }
 Json Body(const CapacityAnnouncement& m) {
   return {detail::Write(m.owner()), m.zone(), WriteAll(m.digests())};
@@ -255,8 +251,7 @@
       from, j.at(3).get<bool>(), j.at(4).get<std::uint64_t>(), j.at(5).get<std::uint64_t>(),
       j.at(6).get<std::uint64_t>(), j.at(7).get<std::uint64_t>(), j.at(8).get<std::uint64_t>(),
       // not sent by earlier versions
-      j.size() > 9 && j.at(9).get<bool>(), j.size() > 10 ? j.at(10).get<WorkerListVersion>() : 0,
-      j.size() > 11 ? FromMillis(j.at(11).get<double>()) : kUntoldListAge);
+      j.size() > 9 && j.at(9).get<bool>(), j.size() > 10 ? j.at(10).get<WorkerListVersion>() : 0);
 }
 CapacityAnnouncement ReadAnnouncement(const Json& j) {
   return {detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -282,9 +282,8 @@
   return true;
 }
 
-void MemberTable::SetWorkers(const WorkerListings& workers, WorkerListRevision revision) {
+void MemberTable::SetWorkers(const WorkerListings& workers) {
   std::lock_guard<std::mutex> lock(m_mutex);
-  m_workers_revision = revision;
   m_workers.clear();
   for (const WorkerListing& worker : workers) m_workers.emplace(worker.id(), worker);
 }
@@ -295,23 +294,17 @@
   return found == m_members.end() ? 0 : found->second.heard_sequence;
 }
 
-std::optional<Instant> MemberTable::SentAt(const NodeId& member, std::uint64_t echo) const {
+bool MemberTable::IsFresh(const NodeId& sender, std::uint64_t echo, Instant now) const {
   std::lock_guard<std::mutex> lock(m_mutex);
-  const auto found = m_members.find(member.address());
+  const auto found = m_members.find(sender.address());
   // nobody would stop the runs of a member that already counts as lost
-  if (found == m_members.end() || found->second.node != member || !found->second.is_reachable) {
-    return std::nullopt;
+  if (found == m_members.end() || found->second.node != sender || !found->second.is_reachable) {
+    return false;
   }
   const auto& sent = found->second.sent;
   const auto echoed_heartbeat = std::find_if(
       sent.begin(), sent.end(), [echo](const auto& item) { return item.first == echo; });
-  if (echoed_heartbeat == sent.end()) return std::nullopt;
-  return echoed_heartbeat->second;
-}
-
-bool MemberTable::IsFresh(const NodeId& sender, std::uint64_t echo, Instant now) const {
-  const auto sent_at = SentAt(sender, echo);
-  return sent_at && now - *sent_at <= kMaxOrderAge;
+  return echoed_heartbeat != sent.end() && now - echoed_heartbeat->second <= kMaxOrderAge;
 }
 
 std::vector<OutgoingHeartbeat> MemberTable::DueHeartbeats(Instant now) {
@@ -384,7 +377,7 @@
   // An isolated VM takes over no workers, because their owners may still be serving them.
   const ZoneRoles& roles = RolesInForce();
   const Address& self = m_self.node().address();
-  if (!roles.IsOwner(self)) return {std::move(own), std::move(standby_workers), m_workers_revision};
+  if (!roles.IsOwner(self)) return {std::move(own), std::move(standby_workers)};
   std::map<std::string, bool> may_own;
   const auto is_candidate = [&self](const HomeCandidate& owner) { return owner.address() == self; };
   for (const auto& [id, worker] : m_workers) {
@@ -399,7 +392,7 @@
       standby_workers.insert(id);
     }
   }
-  return {std::move(own), std::move(standby_workers), m_workers_revision};
+  return {std::move(own), std::move(standby_workers)};
 }
 
 std::optional<NodeId> MemberTable::OwnerOf(const WorkerId& worker) const {
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -50,15 +50,13 @@
 
 OwnerShard::OwnerShard(const NodeId& self, const LeaseLimits& limits, OwnerPolicies policies,
                        TokenSource& tokens, std::atomic<CallNumber>& next_call,
-                       const CapacityView& peer_capacity, const CrashHistory& crashes,
-                       const ListFreshness& list)
+                       const CapacityView& peer_capacity, const CrashHistory& crashes)
     : m_self(self),
       m_limits(limits),
       m_tokens(tokens),
       m_next_call(next_call),
       m_peer_capacity(peer_capacity),
       m_crashes(crashes),
-      m_list(list),
       m_policies(std::move(policies)) {}
 
 OwnerEffects OwnerShard::Apply(const OwnerInput& in) {
@@ -73,7 +71,6 @@
   }
   m_now = in.now();
   std::visit([&](const auto& event) { On(event, in.now(), out); }, in.event());
-  LogFreshness(in.now(), out);
   StartWaiting(in.now(), out);
   SendStopsAndRenewals(in.now(), out);
   FlushReports(std::holds_alternative<OwnerTick>(in.event()), out);
@@ -81,7 +78,6 @@
 }
 
 void OwnerShard::On(const WorkerAssignment& event, Instant now, OwnerEffects& out) {
-  m_list_revision = event.revision();
   std::map<WorkerId, const WorkerListing*> assigned_listings;
   for (const WorkerListing& listing : event.workers()) assigned_listings[listing.id()] = &listing;
   for (auto item = m_workers.begin(); item != m_workers.end();) {
@@ -379,8 +375,6 @@
 
 void OwnerShard::StartWaiting(Instant now, OwnerEffects& out) {
   if (m_waiting.empty()) return;
-  // a worker may have less capacity than the last list says
-  if (!m_list.IsFresh(m_list_revision, now)) return;
   const StartOrderPolicy& order = m_policies.order();
   std::stable_sort(
       m_waiting.begin(), m_waiting.end(),
@@ -394,14 +388,6 @@
   m_waiting.swap(kept);
 }
 
-void OwnerShard::LogFreshness(Instant now, OwnerEffects& out) {
-  if (m_workers.empty() || m_list.IsFresh(m_list_revision, now) != m_list_outdated) return;
-  m_list_outdated = !m_list_outdated;
-  out.emplace_back(LogEvent(m_list_outdated ? LogLevel::kWarning : LogLevel::kInfo,
-                            m_list_outdated ? "worker_list_outdated" : "worker_list_recent",
-                            {{"waiting", std::to_string(m_waiting.size())}}));
-}
-
 bool OwnerShard::IsEligible(const OwnedWorker& owned, const WaitingRun& waiting,
                             const WorkerFilter& confinement, Instant now) const {
   const Session& session = owned.session;
--- a/src/ownership/owner_shard_reports.cc
+++ b/src/ownership/owner_shard_reports.cc
@@ -55,7 +55,6 @@
     double waiting_core_ms = 0;
   };
   std::map<std::string, Sum> sums;
-  const bool may_start = m_list.IsFresh(m_list_revision, m_now);
   for (const auto& [id, owned] : m_workers) {
     const Session& session = owned.session;
     // services without a usable worker are reported, too
@@ -65,7 +64,7 @@
     if (allowance > 0) sum.milli_cores += session.listing().capacity().milli_cores();
     if (!is_included) continue;
     const Resources free_capacity =
-        may_start && session.runs() < allowance ? session.FreeCapacity() : Resources(0, 0, 0);
+        session.runs() < allowance ? session.FreeCapacity() : Resources(0, 0, 0);
     if (free_capacity.milli_cores() > 0 || !only_workers.empty()) {
       sum.free_capacity.emplace_back(id, free_capacity, m_speeds.Slowness(id));
     }
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -58,7 +58,7 @@
   for (std::size_t i = 0; i < kOwnerShards; ++i) {
     m_owners.push_back(std::make_unique<OwnerShard>(m_self, settings.leases(),
                                                     MakePolicies(settings), m_tokens, m_next_call,
-                                                    m_capacity, m_crashes, m_worker_list));
+                                                    m_capacity, m_crashes));
   }
 }
 
@@ -106,7 +106,7 @@
 
 void DispatchNode::HandleEvent(const WorkersListed& event, EventContext& ctx) {
   const bool is_relay = m_members.IsRelay();
-  auto update = m_worker_list.OnRead(event.workers(), is_relay, event.read_at(), ctx.now);
+  auto update = m_worker_list.OnRead(event.workers(), is_relay, ctx.now);
   if (!update) return;
   UseWorkerList(ctx);
   std::vector<Address> to = m_members.RelayRecipients();
@@ -117,9 +117,9 @@
   {
     // read under the lock, so that the newest list is the last one in force
     std::lock_guard<std::mutex> lock(m_workers_mutex);
-    const auto [workers, revision] = m_worker_list.CurrentWithRevision();
+    const WorkerListings workers = m_worker_list.Current();
     for (const WorkerListing& worker : workers) m_service_of[worker.id()] = worker.service();
-    m_members.SetWorkers(workers, revision);
+    m_members.SetWorkers(workers);
     m_capacity.SetListings(workers);
     m_crashes.OnListings(workers);
   }
@@ -162,7 +162,6 @@
 }
 
 void DispatchNode::HandleEvent(const DispatchTick& /*event*/, EventContext& ctx) {
-  m_worker_list.OnTick(ctx.now);
   const bool was_isolated = m_members.Isolated();
   HandleMemberChanges(m_members.OnTick(ctx.now), ctx);
   if (m_members.Isolated() != was_isolated) AssignWorkers(ctx);
@@ -201,8 +200,7 @@
     by_shard[OwnerShardOf(worker.service())].push_back(worker);
   }
   for (std::size_t i = 0; i < by_shard.size(); ++i) {
-    ApplyToOwnerShard(OwnerWork{i, WorkerAssignment(std::move(by_shard[i]), own.standby_workers(),
-                                                    own.revision())},
+    ApplyToOwnerShard(OwnerWork{i, WorkerAssignment(std::move(by_shard[i]), own.standby_workers())},
                       ctx);
   }
   m_capacity.RetainServices(m_self, Digests());
@@ -212,15 +210,13 @@
   const auto due_heartbeats = m_members.DueHeartbeats(ctx.now);
   if (due_heartbeats.empty()) return;
   const WorkerListVersion worker_list_version = OfferedWorkerList(ctx.now);
-  const Duration worker_list_age =
-      worker_list_version == 0 ? Duration::zero() : m_worker_list.Age(ctx.now);
   for (const OutgoingHeartbeat& outgoing : due_heartbeats) {
     if (outgoing.reset_link()) ctx.out.emplace_back(ResetLink(outgoing.to()));
-    ctx.out.emplace_back(SendMessage(
-        outgoing.to(),
-        MemberHeartbeat(m_listing, m_draining, outgoing.sequence(), outgoing.echo(),
-                        outgoing.link_losses(), m_configuration.version(), m_tokens.highest(),
-                        outgoing.parting(), worker_list_version, worker_list_age)));
+    ctx.out.emplace_back(
+        SendMessage(outgoing.to(),
+                    MemberHeartbeat(m_listing, m_draining, outgoing.sequence(), outgoing.echo(),
+                                    outgoing.link_losses(), m_configuration.version(),
+                                    m_tokens.highest(), outgoing.parting(), worker_list_version)));
   }
 }
 
--- a/src/routing/dispatch_node_peers.cc
+++ b/src/routing/dispatch_node_peers.cc
@@ -68,7 +68,10 @@
   HandleMemberChanges(m_members.OnHeartbeat(message, ctx.now), ctx);
   // a new contact waits for the first one, which its orders have to echo
   SendMemberHeartbeats(ctx);
-  if (message.from().zone() == m_listing.zone() && !m_members.IsRelay()) HandleOffer(message, ctx);
+  if (message.from().zone() == m_listing.zone() && !m_members.IsRelay() &&
+      m_worker_list.OnOffer(message.from().node(), message.worker_list_version(), ctx.now)) {
+    ctx.out.emplace_back(SendMessage(message.from().node().address(), WorkerListRequest(m_self)));
+  }
   if (message.configuration_version() <= m_configuration.version()) {
     m_newer_configuration_at = 0;
     return;
@@ -81,15 +84,6 @@
   ctx.out.emplace_back(SendMessage(message.from().node().address(), ConfigurationRequest(m_self)));
 }
 
-void DispatchNode::HandleOffer(const MemberHeartbeat& message, EventContext& ctx) {
-  const NodeId& relay = message.from().node();
-  // the relay sent this after it had received the heartbeat that it echoes
-  const auto echoed_at = m_members.SentAt(relay, message.echo());
-  const Instant as_of = echoed_at ? *echoed_at - message.worker_list_age() : Instant{};
-  if (!m_worker_list.OnOffer(relay, message.worker_list_version(), as_of, ctx.now)) return;
-  ctx.out.emplace_back(SendMessage(relay.address(), WorkerListRequest(m_self)));
-}
-
 void DispatchNode::Receive(const CapacityAnnouncement& message, EventContext& ctx) {
   // it may be delayed, and its sender gone
   if (!m_members.IsKnown(message.owner())) return;
--- a/src/transport/directory_watch.cc
+++ b/src/transport/directory_watch.cc
@@ -13,9 +13,8 @@
 // can be longer, because heartbeats also show which members are alive
 constexpr Duration kMembersWatchTimeout = std::chrono::seconds(10);
 // no run may be started on a worker later than two seconds after it was reported as draining; a
-// silent watch is detected within this time plus the store's response time. With the pause this is
-// also the age of the list in a fleet in which nothing changes.
-constexpr Duration kWorkersWatchTimeout = std::chrono::milliseconds(400);
+// silent watch is detected within this time plus the store's response time
+constexpr Duration kWorkersWatchTimeout = std::chrono::milliseconds(1500);
 // each store call is charged, and every worker report is a change: the pause lets one call return
 // many changes, because half of the workers report within this time
 constexpr Duration kWorkersWatchPause = std::chrono::milliseconds(800);
@@ -155,8 +154,7 @@
 }
 
 void DirectoryWatch::ReadWorkers() {
-  const Instant read_at = m_clock.Now();
-  m_store.ReadWorkers([this, read_at](const Result<VersionedValue<WorkerListings>>& read) {
+  m_store.ReadWorkers([this](const Result<VersionedValue<WorkerListings>>& read) {
     UpdateStoreStatus(std::get_if<Error>(&read));
     const auto* reading = std::get_if<VersionedValue<WorkerListings>>(&read);
     if (reading == nullptr) {
@@ -169,60 +167,54 @@
             std::lock_guard<std::mutex> lock(m_mutex);
             m_workers.ApplySnapshot(reading->value(), m_clock.Now());
             m_workers_read = true;
-            m_workers_as_of = read_at;
           }
           PublishWorkers();
-          m_timers.At(read_at + kWorkersWatchPause,
-                      [this, after = reading->revision()] { WatchWorkers(after); });
+          RunAfter(kWorkersWatchPause,
+                   [this, after = reading->revision()] { WatchWorkers(after); });
         },
         &DirectoryWatch::ReadWorkers);
   });
 }
 
 void DirectoryWatch::WatchWorkers(std::uint64_t after) {
-  const Instant read_at = m_clock.Now();
-  m_store.WatchWorkers(
-      after, kWorkersWatchTimeout,
-      [this, read_at](WatchEnd end, std::uint64_t revision, const WorkerChanges& changes) {
-        if (end == WatchEnd::kFailed || end == WatchEnd::kHistoryUnavailable) {
-          RunAfter(kRetryDelay, [this] { ReadWorkers(); });
-          return;
-        }
-        HandleOrRetry([&] { UseChanges(changes, revision, read_at); },
-                      &DirectoryWatch::ReadWorkers);
-      });
-}
-
-void DirectoryWatch::UseChanges(const WorkerChanges& changes, std::uint64_t revision,
-                                Instant read_at) {
+  m_store.WatchWorkers(after, kWorkersWatchTimeout,
+                       [this](WatchEnd end, std::uint64_t revision, const WorkerChanges& changes) {
+                         if (end == WatchEnd::kFailed || end == WatchEnd::kHistoryUnavailable) {
+                           RunAfter(kRetryDelay, [this] { ReadWorkers(); });
+                           return;
+                         }
+                         HandleOrRetry([&] { UseChanges(changes, revision); },
+                                       &DirectoryWatch::ReadWorkers);
+                       });
+}
+
+void DirectoryWatch::UseChanges(const WorkerChanges& changes, std::uint64_t revision) {
   UpdateStoreStatus(nullptr);
-  {
-    std::lock_guard<std::mutex> lock(m_mutex);
-    m_workers.ApplyChanges(changes, m_clock.Now());
-    m_workers_as_of = read_at;
+  if (!changes.empty()) {
+    {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      m_workers.ApplyChanges(changes, m_clock.Now());
+    }
+    PublishWorkers();
   }
-  PublishWorkers();
   if (!m_interest.ReadsWorkers()) {
     AwaitInterest();
     return;
   }
-  // after a stall of this process the next one is due at once
-  m_timers.At(read_at + kWorkersWatchPause, [this, revision] { WatchWorkers(revision); });
+  RunAfter(kWorkersWatchPause, [this, revision] { WatchWorkers(revision); });
 }
 
 void DirectoryWatch::PublishWorkers() {
   std::optional<WorkerListings> workers;
   std::optional<Instant> expiry;
-  Instant read_at;
   {
     std::lock_guard<std::mutex> lock(m_mutex);
     // a timer of an earlier period of reading may get here first
     if (!m_workers_read) return;
     workers = m_workers.Current(m_clock.Now());
     expiry = m_workers.NextExpiry();
-    read_at = m_workers_as_of;
   }
-  m_events.Accept(WorkersListed(std::move(*workers), read_at));
+  m_events.Accept(WorkersListed(std::move(*workers)));
   if (expiry) m_timers.At(*expiry, [this] { PublishWorkers(); });
 }
 
