Pass the time of a lapse in ticks in a test of the job shard

The test jumped over 2 s and then over 0.4 s without a tick, which is a stall that follows a longer one, after which runs are held back for 100 ms on purpose. The test is of the lapse, not of stalls: it passes the same times in ticks, with the same checks, as did for two others.

--- a/tests/unit/unit-job_shard.cpp
+++ b/tests/unit/unit-job_shard.cpp
@@ -277,11 +277,9 @@
   node.Feed(JobTick());
   CHECK(node.Placed().size() == 1);
   SECTION("its order may stay queued at the owner for longer than a lease") {
-    node.now += Millis(2000);
-    node.Feed(JobTick());
+    node.Pass(Millis(2000));
     CHECK(node.Placed().size() == 1);
-    node.now += Millis(400);
-    node.Feed(JobTick());
+    node.Pass(Millis(400));
     CHECK(node.Placed().size() == 2);
   }
   SECTION("its owner is asked to cancel it") {
