--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -852,35 +852,45 @@
   return true;
 }
 
-Outcome Submit(const std::string& ip, const std::string& id, const JobSpec& job) {
+namespace {
+
+Outcome Call(const std::string& ip, const std::string& method, const std::string& id,
+             const std::string& body, int deadline_ms) {
   Outcome outcome;
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   SetNoDelay(fd);
   const sockaddr_in address = SocketAddress(ip, kFrontPort);
-  const Json body = {{"spec", std::to_string(job.run_ms)},
-                     {"best_effort", true},
-                     {"steps",
-                      {{{"count", job.tasks},
-                        {"cpu", job.milli_cores},
-                        {"mem_mb", 64},
-                        {"estimated_ms", job.run_ms}}}}};
-  const std::string text = body.dump();
-  const std::string request = std::string("POST ") + kPrefix + id + " HTTP/1.1\r\nHost: " + kHost +
+  const std::string request = method + " " + kPrefix + id + " HTTP/1.1\r\nHost: " + kHost +
                               "\r\nContent-Type: application/json\r\nSapphireflow-Deadline-Ms: " +
-                              std::to_string(job.deadline_ms) +
-                              "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" +
-                              text;
+                              std::to_string(deadline_ms) +
+                              "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                              body;
   std::string buffer;
   std::string head;
   if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
-      SendAll(fd, request) && ReadMessage(fd, job.deadline_ms, buffer, head, outcome.body) &&
-      head.size() > 12) {
+      SendAll(fd, request) && ReadMessage(fd, deadline_ms, buffer, head, outcome.body) &&
+      head.size() >= 12) {
     outcome.status = std::stoi(head.substr(9, 3));
   }
   close(fd);
   return outcome;
 }
 
+}  // namespace
+
+Outcome Submit(const std::string& ip, const std::string& id, const JobSpec& job) {
+  Json step = {
+      {"count", job.tasks}, {"cpu", job.milli_cores}, {"mem_mb", 64}, {"estimated_ms", job.run_ms}};
+  const Json body = {{"spec", std::to_string(job.run_ms)},
+                     {"best_effort", true},
+                     {"steps", Json::array({std::move(step)})}};
+  return Call(ip, "POST", id, body.dump(), job.deadline_ms);
+}
+
+Outcome Cancel(const std::string& ip, const std::string& id) {
+  return Call(ip, "DELETE", id, "", 4000);
+}
+
 void Clients::Start(const JobSpec& job, std::size_t pick) {
   std::lock_guard<std::mutex> lock(m_mutex);
   char id[32];
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -292,6 +292,8 @@
 
 // Sends one submission on a connection of its own, and waits for the answer.
 Outcome Submit(const std::string& ip, const std::string& id, const JobSpec& job);
+// Cancels a job.
+Outcome Cancel(const std::string& ip, const std::string& id);
 
 // Clients that submit jobs and repeat them as the pages say: `retry_ms` after no answer, a broken
 // connection, a 502 or a 504.
