--- a/review/1/main.cc
+++ b/review/1/main.cc
@@ -91,16 +91,5 @@
   for (const auto& run : fleet.traces().All()) done += run.how == "done" ? 1 : 0;
   recorder.Line("%d runs done", done);
   if (done == 0) fleet.Finish(2);
-  const auto overlaps = review::FindOverlaps(fleet.traces().All());
-  for (const auto& overlap : overlaps) {
-    recorder.Line(
-        "TWICE %s: run %u on %s from %.1f to %.1f (%s), run %u on %s from %.1f to %.1f "
-        "(%s): together for %.1f ms",
-        overlap.first.task.c_str(), overlap.first.number, overlap.first.worker.c_str(),
-        overlap.first.begin, overlap.first.end, overlap.first.how.c_str(), overlap.second.number,
-        overlap.second.worker.c_str(), overlap.second.begin, overlap.second.end,
-        overlap.second.how.c_str(), overlap.ms);
-  }
-  recorder.Line("%zu tasks ran twice at the same time", overlaps.size());
-  fleet.Finish(overlaps.empty() ? 0 : 1);
+  fleet.Finish(review::ReportOverlaps(fleet.traces().All(), recorder) == 0 ? 0 : 1);
 }
--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -951,4 +951,22 @@
   return overlaps;
 }
 
+std::size_t ReportOverlaps(const std::vector<RunTrace>& runs, Recorder& recorder) {
+  const auto overlaps = FindOverlaps(runs);
+  double longest = 0;
+  for (const Overlap& overlap : overlaps) {
+    longest = std::max(longest, overlap.ms);
+    const RunTrace& a = overlap.first;
+    const RunTrace& b = overlap.second;
+    recorder.Line(
+        "TWICE %s: run %u on %s from %.1f to %.1f (%s), run %u on %s from %.1f to %.1f (%s): "
+        "together for %.1f ms",
+        a.task.c_str(), a.number, a.worker.c_str(), a.begin, a.end, a.how.c_str(), b.number,
+        b.worker.c_str(), b.begin, b.end, b.how.c_str(), overlap.ms);
+  }
+  recorder.Line("%zu runs; %zu times two runs of a task at the same time, for up to %.0f ms",
+                runs.size(), overlaps.size(), longest);
+  return overlaps.size();
+}
+
 }  // namespace review
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -325,6 +325,8 @@
   double ms = 0;
 };
 std::vector<Overlap> FindOverlaps(std::vector<RunTrace> runs);
+// Records the overlaps. @return their number
+std::size_t ReportOverlaps(const std::vector<RunTrace>& runs, Recorder& recorder);
 
 }  // namespace review
 
