--- a/review/2/main.cc
+++ b/review/2/main.cc
@@ -1,9 +1,10 @@
-// Workers drain while the machine that reads the list of workers for others is cut off from the
-// store.
+// A coordinator is killed while an owner of its zone stands still for a moment.
 //
 // usage: case-2 PROGRAM FOLDER RECORD TROUBLE
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
 #include <string>
-#include <thread>
 
 #include "../standin/standin.h"
 
@@ -13,22 +14,20 @@
 
 // bounds of the site that claim.txt names
 constexpr char kBounds[] =
-    "bounds.contact_timeout_ms=3000\nbounds.ack_timeout_ms=4000\nbounds.drain_timeout_ms=2000\n"
-    "bounds.grace_period_s=6\nbounds.loss_slack_ms=200\nbounds.config_apply_ms=2000\n"
-    "bounds.recovery_s=12\nbounds.max_hold_ms=1000\nbounds.stop_timeout_ms=50\n"
-    "bounds.cancel_ms=3000\nbounds.remote_factor=3\nbounds.lease_ms=3000\n"
+    "bounds.contact_timeout_ms=5000\nbounds.ack_timeout_ms=8000\nbounds.drain_timeout_ms=4000\n"
+    "bounds.grace_period_s=6\nbounds.loss_slack_ms=200\nbounds.config_apply_ms=4000\n"
+    "bounds.recovery_s=15\nbounds.max_hold_ms=1000\nbounds.stop_timeout_ms=50\n"
+    "bounds.cancel_ms=5000\nbounds.remote_factor=3\nbounds.lease_ms=3000\n"
     "bounds.thaw_slack_ms=300\nbounds.retry_ms=1300\nbounds.fencing_enforced=true\n";
-constexpr double kDrainTimeoutMs = 2000;
-// a worker exits a little later
-constexpr double kLeaveAfterMs = 3500;
-constexpr std::size_t kRounds = 8;
-constexpr std::size_t kWorkersPerRound = 3;
-constexpr std::size_t kWorkersPerZone = 16;
-// of the first two zones
-constexpr std::size_t kNodesPerZone = 3;
-constexpr double kCutMs = 5500;
-constexpr double kRoundMs = 9000;
-constexpr double kJobIntervalMs = 12;
+constexpr int kNodes = 24;
+// the machines of the zone that give orders to its workers
+constexpr std::size_t kOwners = 12;
+constexpr std::size_t kRounds = 6;
+constexpr double kFreezeMs = 600;
+constexpr double kKillAfterMs = 200;
+constexpr double kDarkMs = 3500;
+constexpr double kRoundMs = 7000;
+constexpr double kJobIntervalMs = 8;
 
 }  // namespace
 
@@ -38,69 +37,59 @@
   review::Recorder recorder(argv[3]);
   const bool trouble = std::string(argv[4]) != "0";
   review::FleetPlan plan;
-  plan.nodes_per_zone = {kNodesPerZone, kNodesPerZone, 2};
-  plan.workers_per_zone = kWorkersPerZone;
+  plan.nodes_per_zone = {kNodes};
+  plan.workers_per_zone = 40;
   plan.bounds = kBounds;
   review::Fleet fleet(plan, argv[1], argv[2], recorder);
   if (!fleet.Start()) fleet.Finish(2);
-  auto& nodes = fleet.nodes();
-  auto& workers = fleet.workers();
   review::Clients clients(fleet, recorder);
   review::JobSpec job;
-  job.tasks = 4;
-  job.run_ms = 60;
-  job.milli_cores = 6000;
+  job.tasks = 2;
+  job.run_ms = 2500;
+  job.milli_cores = 800;
+  job.deadline_ms = 5000;
   const double begin = NowMs() + 500;
-  const double end = begin + 4000 + static_cast<double>(kRounds) * kRoundMs;
+  const double end = begin + 3000 + kRounds * kRoundMs;
   std::thread traffic([&] {
     std::size_t number = 0;
     for (double at = begin; at < end; at += kJobIntervalMs) {
       review::SleepUntilMs(at);
-      clients.Start(job, number++ % nodes.size());
+      ++number;
+      const auto round = static_cast<std::size_t>(std::max(0.0, at - begin) / kRoundMs);
+      // half of the jobs go to the node that is killed next
+      const std::size_t busy = kOwners + std::min<std::size_t>(round, kRounds - 1);
+      clients.Start(job, number % 2 == 0 ? busy : number % kNodes);
     }
   });
-  int broken = 0;
   for (std::size_t round = 0; round < kRounds; ++round) {
-    review::SleepUntilMs(begin + 4000 + static_cast<double>(round) * kRoundMs);
-    // the relays of the first two zones in turn, and workers of the same zone
-    const std::size_t zone = round % 2;
-    review::Node& cut = *nodes[zone * kNodesPerZone + round / 2 % 2];
-    if (trouble) {
-      recorder.Line("%s is cut off from the store", cut.name.c_str());
-      cut.cut_from_store = true;
+    review::SleepUntilMs(begin + 3000 + static_cast<double>(round) * kRoundMs);
+    if (!trouble) continue;
+    auto& nodes = fleet.nodes();
+    const std::size_t killed = kOwners + round;
+    const std::size_t frozen[] = {2 * round, 2 * round + 1};
+    clients.Avoid(killed, true);
+    for (const std::size_t node : frozen) {
+      clients.Avoid(node, true);
+      fleet.Signal(*nodes[node], SIGSTOP);
     }
-    const double cut_at = NowMs();
-    review::SleepMs(100);
-    std::vector<std::pair<std::size_t, double>> leaving;
-    for (std::size_t i = 0; i < kWorkersPerRound; ++i) {
-      const std::size_t worker = zone * kWorkersPerZone + round / 2 * kWorkersPerRound + i;
-      leaving.emplace_back(worker, workers[worker]->Drain());
-    }
-    review::SleepMs(kLeaveAfterMs);
-    for (const auto& [worker, accepted_at] : leaving) {
-      workers[worker]->Leave();
-      for (const auto& start : workers[worker]->StartsWhileDraining()) {
-        const double after = start.at - accepted_at;
-        if (after <= kDrainTimeoutMs) continue;
-        const bool in_touch = !trouble || start.caller != cut.name;
-        recorder.Line("%s: %s started %s on %s %.0f ms after it had reported draining",
-                      in_touch ? "DRAIN" : "excused", start.caller.c_str(), start.task.c_str(),
-                      workers[worker]->id().c_str(), after);
-        if (in_touch) ++broken;
-      }
-    }
-    review::SleepUntilMs(cut_at + kCutMs);
-    if (trouble) {
-      recorder.Line("%s reaches the store again", cut.name.c_str());
-      cut.cut_from_store = false;
+    const double at = NowMs();
+    review::SleepUntilMs(at + kKillAfterMs);
+    fleet.Kill(*nodes[killed]);
+    review::SleepUntilMs(at + kFreezeMs);
+    for (const std::size_t node : frozen) {
+      fleet.Signal(*nodes[node], SIGCONT);
+      clients.Avoid(node, false);
     }
+    review::SleepUntilMs(at + kKillAfterMs + kDarkMs);
+    fleet.StartNode(*nodes[killed]);
+    review::SleepMs(1500);
+    clients.Avoid(killed, false);
   }
   traffic.join();
   clients.Join();
-  std::size_t done = 0;
+  int done = 0;
   for (const auto& run : fleet.traces().All()) done += run.how == "done" ? 1 : 0;
-  recorder.Line("%zu runs done; %d starts on workers that drained for over %.0f ms", done, broken,
-                kDrainTimeoutMs);
+  recorder.Line("%d runs done", done);
   if (done == 0) fleet.Finish(2);
-  fleet.Finish(broken == 0 ? 0 : 1);
+  fleet.Finish(review::ReportOverlaps(fleet.traces().All(), recorder) == 0 ? 0 : 1);
 }
--- a/review/4/main.cc
+++ b/review/4/main.cc
@@ -1,4 +1,4 @@
-// A machine is killed, and so is the one that has just taken over its workers.
+// Workers report a smaller capacity while the machine that gives them orders is cut.
 //
 // usage: case-4 PROGRAM FOLDER RECORD TROUBLE
 #include <algorithm>
@@ -19,12 +19,16 @@
     "bounds.recovery_s=12\nbounds.max_hold_ms=1000\nbounds.stop_timeout_ms=50\n"
     "bounds.cancel_ms=3000\nbounds.remote_factor=3\nbounds.lease_ms=3000\n"
     "bounds.thaw_slack_ms=300\nbounds.retry_ms=1300\nbounds.fencing_enforced=true\n";
-constexpr std::size_t kNodesPerZone = 3;
 constexpr std::size_t kRounds = 6;
-constexpr double kSecondKillMs = 800;
-constexpr double kDarkMs = 3500;
-constexpr double kRoundMs = 8000;
-constexpr double kJobIntervalMs = 10;
+constexpr std::size_t kWorkersPerZone = 16;
+constexpr std::size_t kShrunkWorkers = 12;
+constexpr int kMilliCores = 16000;
+constexpr int kShrunkMilliCores = 8800;
+constexpr double kCutMs = 5500;
+constexpr double kShrinkAfterMs = 100;
+constexpr double kShrunkMs = 6500;
+constexpr double kRoundMs = 10000;
+constexpr double kJobIntervalMs = 12;
 
 }  // namespace
 
@@ -34,65 +38,54 @@
   review::Recorder recorder(argv[3]);
   const bool trouble = std::string(argv[4]) != "0";
   review::FleetPlan plan;
-  plan.nodes_per_zone = {kNodesPerZone, kNodesPerZone, 2};
-  plan.workers_per_zone = 16;
+  plan.nodes_per_zone = {3, 3, 2};
+  plan.workers_per_zone = kWorkersPerZone;
+  plan.worker_milli_cores = kMilliCores;
   plan.bounds = kBounds;
   review::Fleet fleet(plan, argv[1], argv[2], recorder);
   if (!fleet.Start()) fleet.Finish(2);
   auto& nodes = fleet.nodes();
+  auto& workers = fleet.workers();
   review::Clients clients(fleet, recorder);
-  review::JobSpec long_job;
-  long_job.tasks = 2;
-  long_job.run_ms = 2500;
-  long_job.milli_cores = 1000;
-  long_job.deadline_ms = 5000;
-  review::JobSpec short_job;
-  short_job.tasks = 2;
-  short_job.run_ms = 1000;
-  short_job.milli_cores = 1000;
+  review::JobSpec job;
+  job.tasks = 4;
+  job.run_ms = 600;
+  job.milli_cores = 1000;
   const double begin = NowMs() + 500;
   const double end = begin + 3000 + static_cast<double>(kRounds) * kRoundMs;
-  // the machines of a zone take turns
-  const auto machine = [](std::size_t round, std::size_t place) {
-    return round % 2 * kNodesPerZone + (round / 2 + place) % kNodesPerZone;
-  };
   std::thread traffic([&] {
     std::size_t number = 0;
     for (double at = begin; at < end; at += kJobIntervalMs) {
       review::SleepUntilMs(at);
-      const double in_rounds = std::max(0.0, at - begin + 1000) / kRoundMs;
-      const std::size_t round = std::min(static_cast<std::size_t>(in_rounds), kRounds - 1);
-      // the machine that stays has more jobs than its own workers can take
-      if (++number % 10 == 0) {
-        clients.Start(long_job, machine(round, 0));
-      } else {
-        clients.Start(short_job, machine(round, number % 8 == 1 ? 1 : 2));
-      }
+      // the clients of the first zone
+      clients.Start(job, number++ % 3);
     }
   });
   for (std::size_t round = 0; round < kRounds; ++round) {
     review::SleepUntilMs(begin + 3000 + static_cast<double>(round) * kRoundMs);
-    if (!trouble) continue;
-    const std::size_t first = machine(round, 0);
-    const std::size_t second = machine(round, 1);
-    clients.Avoid(first, true);
-    clients.Avoid(second, true);
     const double at = NowMs();
-    fleet.Kill(*nodes[first]);
-    review::SleepUntilMs(at + kSecondKillMs);
-    fleet.Kill(*nodes[second]);
-    review::SleepUntilMs(at + kDarkMs);
-    fleet.StartNode(*nodes[first]);
-    review::SleepUntilMs(at + kSecondKillMs + kDarkMs);
-    fleet.StartNode(*nodes[second]);
-    review::SleepMs(1000);
-    clients.Avoid(first, false);
-    clients.Avoid(second, false);
+    const std::size_t cut = round % 2;
+    if (trouble) {
+      recorder.Line("%s is cut off from the store", nodes[cut]->name.c_str());
+      nodes[cut]->cut_from_store = true;
+    }
+    review::SleepUntilMs(at + kShrinkAfterMs);
+    for (std::size_t i = 0; i < kShrunkWorkers; ++i) workers[i]->SetCapacity(kShrunkMilliCores);
+    review::SleepUntilMs(at + kCutMs);
+    if (trouble) {
+      nodes[cut]->cut_from_store = false;
+      recorder.Line("%s reaches the store again", nodes[cut]->name.c_str());
+    }
+    review::SleepUntilMs(at + kShrinkAfterMs + kShrunkMs);
+    for (std::size_t i = 0; i < kShrunkWorkers; ++i) workers[i]->SetCapacity(kMilliCores);
   }
   traffic.join();
   clients.Join();
   std::size_t done = 0;
   for (const auto& run : fleet.traces().All()) done += run.how == "done" ? 1 : 0;
+  int over = 0;
+  for (const auto& worker : workers) over += worker->starts_over_capacity();
+  recorder.Line("%zu runs done; %d starts over a worker's capacity", done, over);
   if (done == 0) fleet.Finish(2);
-  fleet.Finish(review::ReportOverlaps(fleet.traces().All(), recorder) == 0 ? 0 : 1);
+  fleet.Finish(over == 0 ? 0 : 1);
 }
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../run-case" "$(dirname "$0")"
--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -462,6 +462,7 @@
       m_ip(std::move(ip)),
       m_zone(std::move(zone)),
       m_milli_cores(milli_cores),
+      m_counted_milli_cores(milli_cores),
       m_store(store),
       m_scheduler(scheduler),
       m_traces(traces),
@@ -476,7 +477,7 @@
                       [this](const Request& request) { return Handle(request); })) {
     return false;
   }
-  Publish();
+  PublishRegularly();
   CheckLease();
   return true;
 }
@@ -504,7 +505,11 @@
              {"born", m_born}};
   }
   m_store.Put("servers/" + m_id, entry);
-  m_scheduler.At(NowMs() + kWorkerReportMs, [this] { Publish(); });
+}
+
+void Worker::PublishRegularly() {
+  Publish();
+  m_scheduler.At(NowMs() + kWorkerReportMs, [this] { PublishRegularly(); });
 }
 
 double Worker::Drain() {
@@ -518,6 +523,22 @@
   return at;
 }
 
+void Worker::SetCapacity(int milli_cores) {
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (milli_cores < m_milli_cores) m_shrunk_at = NowMs();
+    if (milli_cores >= m_counted_milli_cores) m_counted_milli_cores = milli_cores;
+    m_milli_cores = milli_cores;
+  }
+  m_recorder.Line("capacity of %s is %d", m_id.c_str(), milli_cores);
+  Publish();
+}
+
+int Worker::starts_over_capacity() {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return m_over_capacity;
+}
+
 void Worker::Leave() {
   {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -581,14 +602,26 @@
   }
   if (expires_ms <= ClockMs()) return Answer(409, {{"reason", "late"}});
   ExtendLocked(expires_ms);
+  std::istringstream spec(body.at("spec").get<std::string>());
+  double run_ms = 0;
+  int needs = 0;
+  spec >> run_ms >> needs;
   const std::uint64_t serial = ++m_serial;
-  m_running[task] = {number, serial, m_traces.Begin(task, number, m_id)};
+  m_running[task] = {number, serial, m_traces.Begin(task, number, m_id), needs};
+  if (NowMs() - m_shrunk_at > kShrunkCountsAfterMs) m_counted_milli_cores = m_milli_cores;
+  int taken = 0;
+  for (const auto& [name, run] : m_running) taken += run.milli_cores;
+  if (taken > m_counted_milli_cores) {
+    ++m_over_capacity;
+    m_recorder.Line("LIMIT: %s needs %d, which makes %d of %d on %s, started by %s", task.c_str(),
+                    needs, taken, m_counted_milli_cores, m_id.c_str(),
+                    identify ? identify(peer_port).c_str() : "");
+  }
   if (m_draining) {
     m_late_starts.push_back({NowMs(), task, identify ? identify(peer_port) : ""});
     m_recorder.Line("start %s on %s, which drains, by %s", task.c_str(), m_id.c_str(),
                     m_late_starts.back().caller.c_str());
   }
-  const double run_ms = std::stod(body.at("spec").get<std::string>());
   m_scheduler.At(NowMs() + run_ms, [this, task, serial] {
     std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_running.find(task);
@@ -881,7 +914,7 @@
 Outcome Submit(const std::string& ip, const std::string& id, const JobSpec& job) {
   Json step = {
       {"count", job.tasks}, {"cpu", job.milli_cores}, {"mem_mb", 64}, {"estimated_ms", job.run_ms}};
-  const Json body = {{"spec", std::to_string(job.run_ms)},
+  const Json body = {{"spec", std::to_string(job.run_ms) + " " + std::to_string(job.milli_cores)},
                      {"best_effort", true},
                      {"steps", Json::array({std::move(step)})}};
   return Call(ip, "POST", id, body.dump(), job.deadline_ms);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -151,7 +151,8 @@
   std::vector<RunTrace> m_runs;
 };
 
-// A worker as the pages describe it. How long a task runs is read from its spec.
+// A worker as the pages describe it. How long a task runs, and what it
+// takes, is read from its spec.
 class Worker {
  public:
   Worker(std::string id, std::string ip, std::string zone, int milli_cores, Store& store,
@@ -159,6 +160,12 @@
   bool Start();
   // Reports `draining`. @return when the store accepted the report
   double Drain();
+  // Changes the capacity and reports it at once.
+  void SetCapacity(int milli_cores);
+  // From this time after a smaller capacity was reported it counts.
+  static constexpr double kShrunkCountsAfterMs = 4500;
+  // Starts that brought the worker over the capacity that counted.
+  int starts_over_capacity();
   // Ends everything that runs here, and the worker.
   void Leave();
   const std::string& id() const { return m_id; }
@@ -177,9 +184,11 @@
     std::uint32_t number = 0;
     std::uint64_t serial = 0;
     std::size_t trace = 0;
+    int milli_cores = 0;
   };
   std::int64_t ClockMs() const;
   void Publish();
+  void PublishRegularly();
   std::optional<Response> Handle(const Request& request);
   Response Answer(int status, Json body) const;
   Response StartRun(const Json& body, int peer_port);
@@ -193,7 +202,10 @@
   const std::string m_id;
   const std::string m_ip;
   const std::string m_zone;
-  const int m_milli_cores;
+  int m_milli_cores;
+  int m_counted_milli_cores;
+  double m_shrunk_at = 0;
+  int m_over_capacity = 0;
   Store& m_store;
   Scheduler& m_scheduler;
   Traces& m_traces;
