--- a/tests/unit/fleet_disruptions.h
+++ b/tests/unit/fleet_disruptions.h
@@ -65,6 +65,9 @@
       if (from != to) CutLink(from, to, m_now + Millis(300.0 + Pick(5000)), Chance(0.5));
     });
   }
+  for (int i = 0; i < m_faults.flapping_members; ++i) {
+    At(FaultTime(), [this] { FlapLinks(); });
+  }
   for (int i = 0; i < m_faults.lone_cuts; ++i) {
     At(FaultTime(), [this] { CutAlone(); });
   }
@@ -255,6 +258,77 @@
   m_paths.CutLink(from, to, {until, is_held});
 }
 
+inline void Fleet::FlapLinks() {
+  const std::size_t chosen = Pick(m_node_count);
+  const bool is_whole_zone = m_zones > 1 && Chance(0.3);
+  const auto flaps = [&](std::size_t node) {
+    return is_whole_zone ? node % m_zones == chosen % m_zones : node == chosen;
+  };
+  const std::size_t direction = Pick(4);
+  std::vector<std::pair<std::size_t, std::size_t>> links;
+  for (std::size_t node = 0; node < m_node_count; ++node) {
+    for (std::size_t other = 0; other < m_node_count; ++other) {
+      if (!flaps(node) || flaps(other)) continue;
+      if (direction != 0) links.emplace_back(node, other);
+      if (direction != 1) links.emplace_back(other, node);
+    }
+  }
+  FlappingLink link;
+  link.until = m_now + Millis(3000.0 + Pick(9000));
+  link.favours_heartbeats = Chance(0.5);
+  link.max_allowance = link.favours_heartbeats ? Pick(2) : 1 + Pick(6);
+  const Duration period = Millis(100.0 + Pick(800));
+  if (Chance(0.5)) {
+    BreakAgain(links, link, period);
+  } else {
+    for (const auto& one : links) BreakAgain({one}, link, period);
+  }
+}
+
+inline void Fleet::BreakAgain(const std::vector<std::pair<std::size_t, std::size_t>>& links,
+                              const FlappingLink& link, Duration period) {
+  const Duration refused = period * static_cast<int>(Pick(8)) / 10;
+  for (const auto& [from, to] : links) {
+    const FlappingLink* before = m_paths.FlappingOf(from, to, m_now);
+    const bool is_used = before == nullptr || before->is_used;
+    m_paths.ResetLink(from, to);
+    FlappingLink& now = m_paths.Flap(from, to, link);
+    now.opens_at = m_now + refused;
+    now.allowance = Pick(link.max_allowance + 1);
+    if (is_used) Feed(from, LinkDown(m_members[to].node().address()));
+    if (m_faults.flapping_callers) BreakCallers(from, true);
+  }
+  if (m_now >= link.until) return;
+  After(period * static_cast<int>(8 + Pick(5)) / 10,
+        [this, links, link, period] { BreakAgain(links, link, period); });
+}
+
+// What is lost on a connection that has stalled is noticed when it breaks.
+inline bool Fleet::IsLostOnFlapping(std::size_t node, std::size_t target,
+                                    const DispatchMessage& message) {
+  FlappingLink* link = m_paths.FlappingOf(node, target, m_now);
+  if (link == nullptr) return false;
+  const bool is_refused = m_now < link->opens_at;
+  const bool is_heartbeat = std::holds_alternative<MemberHeartbeat>(message);
+  if (!is_refused) {
+    link->is_used = true;
+    if (link->favours_heartbeats && is_heartbeat) return false;
+    if (link->allowance > 0) {
+      --link->allowance;
+      return false;
+    }
+    if (!link->favours_heartbeats) return true;
+    m_paths.ResetLink(node, target);
+    link->allowance = Pick(link->max_allowance + 1);
+  }
+  if (m_now < link->loss_noted_at) return true;
+  link->loss_noted_at = m_now + Millis(0.3 + 0.1 * Pick(10));
+  At(link->loss_noted_at, [this, node, target, epoch = m_epochs[node]] {
+    FeedIfAlive(node, epoch, LinkDown(m_members[target].node().address()));
+  });
+  return true;
+}
+
 inline void Fleet::CutAlone() {
   const std::size_t node = Pick(m_node_count);
   const Instant until = m_now + Millis(1500.0 + Pick(4500));
--- a/tests/unit/fleet_faults.h
+++ b/tests/unit/fleet_faults.h
@@ -63,6 +63,11 @@
   int slowings = 0;
   // links between two members cut in one direction
   int link_cuts = 0;
+  // Members, or whole zones, whose links break every 100 to 900 ms for seconds, in both or one
+  // direction. New connections are refused for a part of that time, and carry few messages.
+  int flapping_members = 0;
+  // whether the connections of their callers break as well
+  bool flapping_callers = false;
   // members cut off from all others, some also from workers, whose callers' connections break
   int lone_cuts = 0;
   // whether half of these members do not learn that their callers' connections broke
@@ -76,8 +81,8 @@
   bool Literal() const {
     return literal || partial_worker_cuts > 0 || worker_crashes > 0 || resets > 0 ||
            late_periods > 0 || freezes > 0 || giver_losses > 0 || kill_pairs > 0 ||
-           kills_beside_freezes > 0 || slowings > 0 || link_cuts > 0 || lone_cuts > 0 ||
-           store_lapses > 0 || clock_slowness > 0;
+           kills_beside_freezes > 0 || slowings > 0 || link_cuts > 0 || flapping_members > 0 ||
+           lone_cuts > 0 || store_lapses > 0 || clock_slowness > 0;
   }
   bool Any() const {
     return crashing_share > 0 || member_kills > 0 || giver_kills > 0 || zone_cuts > 0 ||
--- a/tests/unit/fleet_paths.h
+++ b/tests/unit/fleet_paths.h
@@ -35,6 +35,24 @@
   bool is_held = false;
 };
 
+// a link whose connections break again and again
+struct FlappingLink {
+  Instant until{};
+  // connections are refused before
+  Instant opens_at{};
+  // when the sender notices that its connection was refused or has broken
+  Instant loss_noted_at{};
+  // how many more messages arrive on the current connection
+  std::size_t allowance = 0;
+  // bound of the above for new connections
+  std::size_t max_allowance = 0;
+  // whether heartbeats always arrive, and the first other message beyond the allowance breaks the
+  // connection; otherwise the connection stalls until the next break
+  bool favours_heartbeats = false;
+  // whether a connection was opened since the last break
+  bool is_used = false;
+};
+
 class FleetPaths {
  public:
   using ToWorker = std::pair<std::size_t, Address>;
@@ -49,6 +67,15 @@
     m_links.insert_or_assign(Link(from, to), cut);
   }
 
+  // returns null unless the link flaps
+  FlappingLink* FlappingOf(std::size_t from, std::size_t to, Instant now) {
+    const auto found = m_flapping.find({from, to});
+    return found == m_flapping.end() || found->second.until <= now ? nullptr : &found->second;
+  }
+  FlappingLink& Flap(std::size_t from, std::size_t to, const FlappingLink& link) {
+    return m_flapping.insert_or_assign(Link(from, to), link).first->second;
+  }
+
   // messages in transit are lost when the link is reset
   std::uint32_t LinkGeneration(std::size_t from, std::size_t to) const {
     const auto found = m_generations.find({from, to});
@@ -91,6 +118,7 @@
   }
 
   std::map<Link, LinkCut> m_links;
+  std::map<Link, FlappingLink> m_flapping;
   std::map<Link, std::uint32_t> m_generations;
   std::map<ToWorker, WorkerPath> m_requests;
   std::map<ToWorker, WorkerPath> m_replies;
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -192,6 +192,9 @@
         SendThroughCut(node, target, effect.message());
         continue;
       }
+      if (m_faults.Literal() && IsLostOnFlapping(node, target, effect.message())) {
+        continue;
+      }
       if (Chance(0.001)) {
         // the link is lost, including messages in transit
         Feed(node, LinkDown(to));
@@ -725,6 +728,10 @@
   void KillPair();
   void KillBesideFreezes();
   void CutLink(std::size_t from, std::size_t to, Instant until, bool is_held);
+  void FlapLinks();
+  void BreakAgain(const std::vector<std::pair<std::size_t, std::size_t>>& links,
+                  const FlappingLink& link, Duration period);
+  bool IsLostOnFlapping(std::size_t node, std::size_t target, const DispatchMessage& message);
   void CutAlone();
   void LapseStore();
 
--- a/tests/unit/unit-concurrent_runs.cpp
+++ b/tests/unit/unit-concurrent_runs.cpp
@@ -88,6 +88,16 @@
   return faults;
 }
 
+// Runs that outlast the time after which a coordinator counts an unreachable owner's as lapsed.
+FleetFaults FlappingLinks(bool callers) {
+  FleetFaults faults = Only(&FleetFaults::flapping_members, 3);
+  faults.flapping_callers = callers;
+  faults.added_task_ms = 3000;
+  faults.answer_timeout_ms = 14000;
+  faults.min_workers = 12;
+  return faults;
+}
+
 void RunFew(const FleetFaults& faults) {
   RunSeeds(1, 3, 1, faults);
   RunSeeds(1, 1, 3, faults);
@@ -168,6 +178,22 @@
   RunSeeds(1, 250, 1, faults);
 }
 
+// A coordinator counted a run as lapsed while its owner went on extending the lease.
+TEST_CASE("no task runs twice while the links of a member break again and again", "[.flapping]") {
+  for (const std::uint32_t seed : {1, 11, 16, 17, 24}) {
+    RunSeeds(seed, 1, 4, SevenMembers(FlappingLinks(/*callers=*/false)));
+  }
+}
+
+// Run by name before a merge.
+TEST_CASE("no task runs twice while links break again and again, over many seeds", "[.twice]") {
+  for (const bool callers : {false, true}) {
+    RunSeeds(100, 100, 1, FlappingLinks(callers));
+    RunSeeds(100, 50, 3, FlappingLinks(callers));
+    RunSeeds(100, 50, 4, SevenMembers(FlappingLinks(callers)));
+  }
+}
+
 // Run by name before a merge.
 TEST_CASE("no task runs twice, each fault by itself, over many seeds", "[.twice]") {
   RunMany(Only(&FleetFaults::partial_worker_cuts, 6));
