--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -74,6 +74,20 @@
   Instant m_wanted_at;
 };
 
+/// @brief A run on a worker, and its coordinator if it has been claimed.
+class KnownRun : public Comparable<KnownRun> {
+ public:
+  KnownRun(const RunKey& run, const std::optional<NodeId>& coordinator)
+      : m_run(run), m_coordinator(coordinator) {}
+  const RunKey& run() const { return m_run; }
+  const std::optional<NodeId>& coordinator() const { return m_coordinator; }
+  auto Fields() const { return std::tie(m_run, m_coordinator); }
+
+ private:
+  RunKey m_run;
+  std::optional<NodeId> m_coordinator;
+};
+
 /// @brief State of one owned worker. Not thread-safe: guarded by the lock of its shard.
 ///
 /// Capacity is accounted by requested starts, not by confirmed ones: a run occupies its resources
@@ -134,6 +148,8 @@
   /// `LeaseLimits::orphan_stop_after`.
   /// @return the runs that were newly marked.
   std::vector<OrphanedRun> CancelOrphans(Instant now);
+  /// @return the number and coordinator of a run of the task, if there is one.
+  std::optional<KnownRun> RunOf(const TaskKey& task) const;
   /// @brief Whether the lease of a run that starts now outlasts the start request.
   bool HasLeaseForStart(Instant now) const;
   /// @brief Reports all runs as lapsed once the lease of an unresponsive worker has expired.
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -463,9 +463,24 @@
   return now - wanted_at >= m_limits.orphan_stop_after();
 }
 
+bool OwnerShard::HasOtherRun(const WaitingRun& waiting) {
+  const RunKey& run = waiting.order().run();
+  bool found = false;
+  for (auto& [id, owned] : m_workers) {
+    const auto other = owned.session.RunOf(run.task());
+    if (!other) continue;
+    found = true;
+    // the coordinator has replaced it, or a resubmission of the job has
+    const bool is_replaced =
+        other->coordinator() == waiting.coordinator() && other->run().number() < run.number();
+    if (is_replaced) owned.session.Cancel(other->run(), waiting.coordinator());
+  }
+  return found;
+}
+
 bool OwnerShard::TryStart(const WaitingRun& waiting, const std::set<WorkerId>& reserved,
                           Instant now, OwnerEffects& out) {
-  if (IsOrphaned(waiting, now)) return false;
+  if (IsOrphaned(waiting, now) || HasOtherRun(waiting)) return false;
   const WorkerFilter confinement = m_crashes.ConfinementOf(waiting.queue(), now);
   const WorkerFilter exposed = m_crashes.ExposedWorkers(now);
   const auto start_on_one = [&](bool may_be_exposed) {
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -186,6 +186,12 @@
   return orphans;
 }
 
+std::optional<KnownRun> WorkerSession::RunOf(const TaskKey& task) const {
+  const auto found = m_runs.lower_bound(RunKey(task, 0));
+  if (found == m_runs.end() || found->first.task() != task) return std::nullopt;
+  return KnownRun(found->first, found->second.coordinator);
+}
+
 Instant WorkerSession::LeaseBound() const {
   Instant bound = Instant::max();
   for (const auto& [run, record] : m_runs) {
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -391,6 +391,33 @@
   for (const RenewLease& renewal : owner.renewals) CHECK(renewal.call().lease_until_ms() == 0);
 }
 
+// An owner started a run of a task while another one went on at a worker of its own.
+TEST_CASE("a run waits for the end of an earlier run of its task") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10), Listing("w2", 11)});
+  owner.PlaceOrders({LongRun(0)}, kCoordinator);
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  const std::string worker = owner.starts[0].call().worker();
+  const RunKey next(Run(0).task(), Run(0).number() + 1);
+  const RunOrder order(next, kTaskNeeds, Millis(2000), "", "", 0, {});
+  SECTION("which is stopped if its coordinator has replaced it") {
+    owner.PlaceOrders({order}, kCoordinator);
+    CHECK(owner.starts.size() == 1);
+    REQUIRE(owner.stops.size() == 1);
+    CHECK(owner.stops[0].run() == Run(0));
+    owner.AnswerRenewal({}, {EndedRun(1, Run(0), RunEnd::kStopped)}, worker);
+    REQUIRE(owner.starts.size() == 2);
+    CHECK(owner.starts[1].run() == next);
+  }
+  SECTION("which goes on if it belongs to another coordinator") {
+    owner.PlaceOrders({order}, kOtherCoordinator);
+    CHECK(owner.starts.size() == 1);
+    CHECK(owner.stops.empty());
+    owner.AnswerRenewal({}, {EndedRun(1, Run(0), RunEnd::kDone)}, worker);
+    CHECK(owner.starts.size() == 2);
+  }
+}
+
 // A claim that arrives while a renewal waits at the worker must not find the lease lapsed.
 TEST_CASE("renewals wait for a short time only while runs are unclaimed") {
   OwnerHarness owner;
