--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -292,17 +292,25 @@
 /// @brief Owner to coordinator: reports on runs, with the free capacity of the workers concerned.
 class RunReports : public Comparable<RunReports> {
  public:
-  RunReports(const NodeId& owner, std::vector<RunReport> reports, CapacityUpdate free_capacity)
-      : m_owner(owner), m_reports(std::move(reports)), m_free_capacity(std::move(free_capacity)) {}
+  RunReports(const NodeId& owner, std::vector<RunReport> reports, CapacityUpdate free_capacity,
+             const std::optional<NodeId>& coordinator = std::nullopt)
+      : m_owner(owner),
+        m_reports(std::move(reports)),
+        m_free_capacity(std::move(free_capacity)),
+        m_coordinator(coordinator) {}
   const NodeId& owner() const { return m_owner; }
   const std::vector<RunReport>& reports() const { return m_reports; }
   const CapacityUpdate& free_capacity() const { return m_free_capacity; }
-  auto Fields() const { return std::tie(m_owner, m_reports, m_free_capacity); }
+  /// @brief The process that ordered or claimed the runs: its successor at the same address numbers
+  /// its runs from 1 again. Empty from an owner of an earlier version.
+  const std::optional<NodeId>& coordinator() const { return m_coordinator; }
+  auto Fields() const { return std::tie(m_owner, m_reports, m_free_capacity, m_coordinator); }
 
  private:
   NodeId m_owner;
   std::vector<RunReport> m_reports;
   CapacityUpdate m_free_capacity;
+  std::optional<NodeId> m_coordinator;
 };
 
 /// @brief Heartbeat from one member to another.
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -164,7 +164,7 @@
 }
 Json Body(const RunReports& m) {
   return {detail::Write(m.owner()), WriteAll(m.reports()), WriteAll(m.free_capacity().digests()),
-          m.free_capacity().complete()};
+          m.free_capacity().complete(), m.coordinator() ? detail::Write(*m.coordinator()) : Json()};
 }
 Json Body(const MemberHeartbeat& m) {
   return {detail::Write(m.from().node()),
@@ -245,8 +245,12 @@
       j.size() > 9 && j.at(9).get<bool>(), j.at(6).get<std::uint64_t>());
 }
 DispatchMessage ReadRunReports(const Json& j) {
+  std::optional<NodeId> coordinator;
+  // not sent by earlier versions
+  if (j.size() > 4 && !j.at(4).is_null()) coordinator = detail::ReadNodeId(j.at(4));
   return RunReports(detail::ReadNodeId(j.at(0)), ReadList(j.at(1), ReadRunReport),
-                    CapacityUpdate(ReadList(j.at(2), ReadCapacityDigest), j.at(3).get<bool>()));
+                    CapacityUpdate(ReadList(j.at(2), ReadCapacityDigest), j.at(3).get<bool>()),
+                    coordinator);
 }
 // earlier versions send no list, or one without its age
 std::optional<WorkerListOffer> ReadWorkerListOffer(const Json& heartbeat) {
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -355,7 +355,8 @@
   for (const CapacityDigest& digest : digests) m_capacity.Update(m_self, m_listing.zone(), digest);
   for (OwnerEffect& effect : effects) {
     if (auto* report = std::get_if<SendRunReports>(&effect)) {
-      const RunReports reports(m_self, report->reports(), report->free_capacity());
+      const RunReports reports(m_self, report->reports(), report->free_capacity(),
+                               report->coordinator());
       if (report->coordinator() == m_self) {
         QueueReports(reports, ctx);
       } else {
--- a/src/routing/dispatch_node_peers.cc
+++ b/src/routing/dispatch_node_peers.cc
@@ -36,7 +36,8 @@
                                  {"echo", std::to_string(message.echo())}}));
   ctx.out.emplace_back(
       SendMessage(message.coordinator().address(),
-                  RunReports(m_self, std::move(reports), CapacityUpdate(Digests(), true))));
+                  RunReports(m_self, std::move(reports), CapacityUpdate(Digests(), true),
+                             message.coordinator())));
 }
 
 void DispatchNode::Receive(const CancelRuns& message, EventContext& ctx) {
@@ -62,6 +63,13 @@
       m_capacity.MergeDigest(message.owner(), digest);
     }
   }
+  if (message.coordinator() && *message.coordinator() != m_self) {
+    ctx.out.emplace_back(LogEvent(LogLevel::kInfo, "reports_for_former_process",
+                                  {{"owner", message.owner().text()},
+                                   {"runs", std::to_string(message.reports().size())},
+                                   {"coordinator", message.coordinator()->text()}}));
+    return;
+  }
   QueueReports(message, ctx);
 }
 
--- a/tests/unit/unit-dispatch_codec.cpp
+++ b/tests/unit/unit-dispatch_codec.cpp
@@ -41,6 +41,7 @@
       kNode, {RunReport(kRun, RunTransition::kReleased, RunEnd::kAbsent, "w1", "new_owner")},
       CapacityUpdate({digest}, true)));
   CheckDispatchRoundTrip(MemberHeartbeat(MemberListing(kNode, "celaya", 250), true, 1, 2, 3, 4, 5));
+  CheckDispatchRoundTrip(RunReports(kNode, {}, CapacityUpdate({}, false), kNode));
   CheckDispatchRoundTrip(CapacityAnnouncement(kNode, "celaya", {digest}));
   CheckDispatchRoundTrip(CapacityRelay({CapacityAnnouncement(kNode, "leon", {digest})}));
   CheckDispatchRoundTrip(ConfigurationRequest(kNode));
