--- a/include/sapphireflow/ownership/coordinator_liveness.h
+++ b/include/sapphireflow/ownership/coordinator_liveness.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "sapphireflow/model/ids.h"
+#include "sapphireflow/model/job_order.h"
 #include "sapphireflow/model/time.h"
 
 namespace sapphireflow {
@@ -26,8 +27,8 @@
   /// the epoch if there is no such time.
   virtual Instant AliveAt(const NodeId& coordinator, Instant now) const = 0;
   /// @return the newest time at which the coordinator certainly wanted the run, by its heartbeats;
-  /// `now` for this VM itself, the epoch if there is no such time or the newest heartbeat names the
-  /// run as doubted.
+  /// `now` for this VM itself, the epoch if there is no such time. Once a heartbeat names the run
+  /// as doubted, the time stays as it was.
   virtual Instant WantedAt(const NodeId& coordinator, const RunKey& run, Instant now) const = 0;
   /// @return the same for a run whose coordinator is not known: the oldest time among all members.
   virtual Instant WantedByAllAt(const RunKey& run, Instant now) const = 0;
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -13,6 +13,8 @@
 // answers are kept this long for duplicate submissions that arrive late
 constexpr Duration kFinishedRetention = std::chrono::seconds(10);
 constexpr std::size_t kMaxFinished = 5000;
+// longer than an owner that was paused keeps a record of a run whose lease has ended
+constexpr Duration kLapsedRetention = std::chrono::seconds(2);
 // after more consecutive declines than this a task waits for the next tick to be placed again
 constexpr std::uint32_t kMaxPromptRetries = 3;
 // number of runs of one task, ended for any reason, after which the job is abandoned
@@ -507,7 +509,7 @@
                                                       : std::next(item);
   }
   for (auto item = m_lapsed.begin(); item != m_lapsed.end();) {
-    item = now - item->second > kFinishedRetention ? m_lapsed.erase(item) : std::next(item);
+    item = now - item->second > kLapsedRetention ? m_lapsed.erase(item) : std::next(item);
   }
   while (!m_finished_order.empty() && (now - m_finished_order.front().first > kFinishedRetention ||
                                        m_finished_order.size() > kMaxFinished)) {
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -125,10 +125,13 @@
   member.heard_at = now;
   if (member_heartbeat.sequence() > member.heard_sequence) {
     member.heard_sequence = member_heartbeat.sequence();
+    std::map<RunKey, Instant> doubted_runs;
+    for (const RunKey& run : member_heartbeat.doubted_runs()) {
+      doubted_runs.emplace(run, WantedAt(member, run));
+    }
+    member.doubted_runs = std::move(doubted_runs);
     member.wanted_at =
         std::max(member.wanted_at, SendTimeOf(member, member_heartbeat.echo()).value_or(Instant{}));
-    const auto& doubted = member_heartbeat.doubted_runs();
-    member.doubted_runs = std::set<RunKey>(doubted.begin(), doubted.end());
   }
   // an echo above the last sequence sent belongs to an earlier process at this address
   if (member_heartbeat.echo() > member.echoed && member_heartbeat.echo() <= member.sent_sequence) {
@@ -184,7 +187,8 @@
 }
 
 Instant MemberTable::WantedAt(const Member& member, const RunKey& run) {
-  return member.doubted_runs.count(run) > 0 ? Instant{} : member.wanted_at;
+  const auto doubted = member.doubted_runs.find(run);
+  return doubted == member.doubted_runs.end() ? member.wanted_at : doubted->second;
 }
 
 Instant MemberTable::WantedAt(const NodeId& coordinator, const RunKey& run, Instant now) const {
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -32,6 +32,9 @@
 // timeout plus one tick, and its successor may have the run.
 constexpr Duration kSilentOwnerAllowance = std::chrono::milliseconds(1050);
 
+// Between the decision to claim a run and the reading of the echo that its claim carries.
+constexpr Duration kClaimSendTime = std::chrono::milliseconds(200);
+
 // A caller refused by this node can try another one at once.
 constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(100);
 
@@ -51,9 +54,9 @@
       m_members(listing, settings.leases()),
       m_worker_list(m_self, settings.drain_timeout() - kWorkerListReadTime) {
   const LeaseLimits& leases = settings.leases();
-  const Duration lapse =
-      std::max(leases.max_time_to_expiry() + kSilentOwnerAllowance, leases.caller_return());
-  const LapseTimes times(leases.max_time_to_expiry(), leases.caller_return(), lapse,
+  const Duration claim_lapse = leases.caller_return() + kClaimSendTime;
+  const Duration lapse = std::max(leases.max_time_to_expiry() + kSilentOwnerAllowance, claim_lapse);
+  const LapseTimes times(leases.max_time_to_expiry(), claim_lapse, lapse,
                          lapse + kMaxOrderAge + kMaxQueueTime);
   for (std::size_t i = 0; i < kJobShards; ++i) {
     m_jobs.push_back(std::make_unique<JobShard>(m_self, times, m_capacity, m_members, m_crashes));
