Log what an owner does with adoptions

An owner's log did not say whether an adoption had arrived, what the owner knew of its run, or that it was dropped as outdated.

`run_adopted` tells the first adoption of a run by a coordinator and its result, `adoption_outdated` the first that is dropped, `order_after_cancel` an order whose run was cancelled before. Adoptions are repeated every 100 ms: `RepeatFilter` keeps repetitions within 5 s out of the log. No change of logic.

--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -57,6 +57,14 @@
   std::vector<WorkerLoss> losses;
 };
 
+/// @brief What an owner knows of a run that a coordinator adopts.
+enum class AdoptedState {
+  kKnown,
+  kUnknown,   ///< to be treated as starting until the worker reports its runs
+  kEnded,     ///< the worker has reported the end
+  kNotOwner,  ///< the worker has another owner, or its process has ended
+};
+
 /// @brief State of one owned worker. Not thread-safe: guarded by the lock of its shard.
 ///
 /// Capacity is accounted by requested starts, not by confirmed ones: a run occupies its resources
@@ -105,6 +113,8 @@
   /// @brief Assigns a run on the worker to the coordinator that claims it.
   /// @return false if the state of the run is unknown until the worker is reacquired.
   bool Adopt(const AdoptRun& adoption, Instant now, SessionDelta& delta);
+  /// @return what an adoption of the run meets here.
+  AdoptedState StateOf(const RunKey& run) const;
   /// @brief Requests the stop of a run that belongs to the coordinator or has not been adopted.
   /// @return whether there is such a run.
   bool Cancel(const RunKey& run, const NodeId& coordinator);
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -9,9 +9,11 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "sapphireflow/dispatch/capacity_view.h"
+#include "sapphireflow/observe/repeat_filter.h"
 #include "sapphireflow/ownership/coordinator_liveness.h"
 #include "sapphireflow/ownership/detail/worker_session.h"
 #include "sapphireflow/ownership/owner_event.h"
@@ -64,6 +66,9 @@
   std::vector<CapacityDigest> Digests() const;
 
  private:
+  // coordinators repeat an adoption until it is answered, and after each loss of a link
+  static constexpr Duration kAdoptionLogInterval = std::chrono::seconds(5);
+
   using Session = detail::WorkerSession;
   using Delta = detail::SessionDelta;
   struct OwnedWorker {
@@ -88,6 +93,9 @@
   void On(const RenewalReplied& event, Instant now, OwnerEffects& out);
   void On(const OwnerTick& event, Instant now, OwnerEffects& out);
 
+  // logs an adoption unless it repeats an earlier one with the same result
+  void LogAdoption(const AdoptRun& adoption, detail::AdoptedState state, Instant now,
+                   OwnerEffects& out);
   void ApplyDelta(OwnedWorker& owned, const Delta& delta, Instant now, OwnerEffects& out);
   // another owner may have extended the leases of all workers until now
   void OnPossibleTakeover(Instant now);
@@ -154,6 +162,9 @@
   std::map<RunKey, Instant> m_cancelled;
   // unsent reports by coordinator; between events these are only reports of starts
   std::map<NodeId, std::vector<RunReport>> m_reports;
+  // adoptions that were logged
+  using LoggedAdoption = std::tuple<RunKey, NodeId, detail::AdoptedState>;
+  RepeatFilter<LoggedAdoption> m_logged_adoptions{kAdoptionLogInterval};
   // time of the current or last event
   Instant m_now{};
   // when a reply of any worker was last lost
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include "sapphireflow/dispatch/job_shard.h"
 #include "sapphireflow/membership/member_table.h"
 #include "sapphireflow/membership/worker_list.h"
+#include "sapphireflow/observe/repeat_filter.h"
 #include "sapphireflow/ownership/owner_shard.h"
 #include "sapphireflow/pipeline/filter.h"
 #include "sapphireflow/recovery/crash_ledger.h"
@@ -47,6 +49,9 @@
   }
 
  private:
+  // coordinators repeat an adoption until it is answered
+  static constexpr Duration kOutdatedLogInterval = std::chrono::seconds(5);
+
   // events for one job shard or one owner shard of this node
   struct JobWork {
     std::size_t shard;
@@ -93,6 +98,8 @@
   void Receive(const WorkerListRequest& message, EventContext& ctx);
   void Receive(const CrashNotice& message, EventContext& ctx);
 
+  // logs an adoption that is too old unless it repeats one that was
+  void LogOutdated(const AdoptRun& adoption, EventContext& ctx);
   void HandleMemberChanges(const MemberChanges& changes, EventContext& ctx);
   // records a loss seen by this VM and tells its zone and the relays of the others
   void RecordLoss(const WorkerLoss& loss, EventContext& ctx);
@@ -153,6 +160,10 @@
   std::vector<std::unique_ptr<JobShard>> m_jobs;
   std::vector<std::unique_ptr<OwnerShard>> m_owners;
 
+  std::mutex m_outdated_mutex;
+  // guarded by m_outdated_mutex; adoptions that were logged as outdated
+  RepeatFilter<std::pair<RunKey, NodeId>> m_logged_outdated{kOutdatedLogInterval};
+
   std::mutex m_announced_mutex;
   // guarded by m_announced_mutex; what the zone was last told
   std::vector<CapacityDigest> m_announced;
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -45,6 +45,20 @@
 
 using detail::MillisText;
 
+const char* AdoptedStateName(detail::AdoptedState state) {
+  switch (state) {
+    case detail::AdoptedState::kKnown:
+      return "yes";
+    case detail::AdoptedState::kUnknown:
+      return "no";
+    case detail::AdoptedState::kEnded:
+      return "ended";
+    case detail::AdoptedState::kNotOwner:
+      return "not_owner";
+  }
+  return "?";
+}
+
 }  // namespace
 
 OwnerShard::OwnerShard(const NodeId& self, const LeaseLimits& limits, OwnerPolicies policies,
@@ -147,6 +161,9 @@
 void OwnerShard::On(const PlaceRuns& event, Instant now, OwnerEffects& out) {
   for (const RunOrder& order : event.runs()) {
     if (m_cancelled.count(order.run()) > 0) {
+      LogEvent::Pairs pairs = detail::RunFields(order.run());
+      pairs.emplace_back("coordinator", event.coordinator().text());
+      out.emplace_back(LogEvent(LogLevel::kWarning, "order_after_cancel", std::move(pairs)));
       m_reports[event.coordinator()].emplace_back(order.run(), RunTransition::kDeclined,
                                                   RunEnd::kAbsent, "", "cancelled_before");
       continue;
@@ -186,8 +203,23 @@
   }
 }
 
+void OwnerShard::LogAdoption(const AdoptRun& adoption, detail::AdoptedState state, Instant now,
+                             OwnerEffects& out) {
+  if (!m_logged_adoptions.IsNew({adoption.run(), adoption.coordinator(), state}, now)) return;
+  LogEvent::Pairs pairs = {{"worker", adoption.worker()}};
+  const LogEvent::Pairs run = detail::RunFields(adoption.run());
+  pairs.insert(pairs.end(), run.begin(), run.end());
+  pairs.emplace_back("coordinator", adoption.coordinator().text());
+  pairs.emplace_back("known", AdoptedStateName(state));
+  out.emplace_back(LogEvent(LogLevel::kInfo, "run_adopted", std::move(pairs)));
+}
+
 void OwnerShard::On(const AdoptRun& event, Instant now, OwnerEffects& out) {
   const auto found = m_workers.find(event.worker());
+  LogAdoption(event,
+              found == m_workers.end() ? detail::AdoptedState::kNotOwner
+                                       : found->second.session.StateOf(event.run()),
+              now, out);
   if (found == m_workers.end()) {
     m_reports[event.coordinator()].emplace_back(event.run(), RunTransition::kReleased,
                                                 RunEnd::kAbsent, event.worker(), "not_owner");
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -136,6 +136,12 @@
   return m_phase == Phase::kAcquiring;
 }
 
+AdoptedState WorkerSession::StateOf(const RunKey& run) const {
+  if (m_runs.count(run) > 0) return AdoptedState::kKnown;
+  if (m_phase == Phase::kFenced || m_phase == Phase::kTerminated) return AdoptedState::kNotOwner;
+  return m_unclaimed_ends.count(run) > 0 ? AdoptedState::kEnded : AdoptedState::kUnknown;
+}
+
 bool WorkerSession::Cancel(const RunKey& run, const NodeId& coordinator) {
   const auto found = m_runs.find(run);
   if (found == m_runs.end()) return false;
--- a/src/routing/dispatch_node_peers.cc
+++ b/src/routing/dispatch_node_peers.cc
@@ -1,6 +1,7 @@
 // Part of routing: messages from other members and membership changes.
 #include <utility>
 
+#include "sapphireflow/dispatch/detail/log_fields.h"
 #include "sapphireflow/routing/dispatch_node.h"
 
 namespace sapphireflow {
@@ -50,10 +51,25 @@
 void DispatchNode::Receive(const AdoptRun& message, EventContext& ctx) {
   m_members.OnEcho(message.coordinator(), message.echo());
   // the coordinator repeats the request while it still wants the run
-  if (!m_members.IsFresh(message.coordinator(), message.echo(), ctx.now)) return;
+  if (!m_members.IsFresh(message.coordinator(), message.echo(), ctx.now)) {
+    LogOutdated(message, ctx);
+    return;
+  }
   ctx.work.emplace_back(OwnerWork{OwnerShardOf(message.service()), message});
 }
 
+void DispatchNode::LogOutdated(const AdoptRun& adoption, EventContext& ctx) {
+  {
+    std::lock_guard<std::mutex> lock(m_outdated_mutex);
+    if (!m_logged_outdated.IsNew({adoption.run(), adoption.coordinator()}, ctx.now)) return;
+  }
+  LogEvent::Pairs pairs = {{"coordinator", adoption.coordinator().text()}};
+  const LogEvent::Pairs run = detail::RunFields(adoption.run());
+  pairs.insert(pairs.end(), run.begin(), run.end());
+  pairs.emplace_back("echo", std::to_string(adoption.echo()));
+  ctx.out.emplace_back(LogEvent(LogLevel::kWarning, "adoption_outdated", std::move(pairs)));
+}
+
 void DispatchNode::Receive(const RunReports& message, EventContext& ctx) {
   for (const CapacityDigest& digest : message.free_capacity().digests()) {
     if (message.free_capacity().complete()) {
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -78,6 +78,7 @@
         crashes.Record(*loss, now);
         losses.push_back(*loss);
       }
+      if (auto* line = std::get_if<LogEvent>(&effect)) lines.push_back(*line);
       if (auto* reports_effect = std::get_if<SendRunReports>(&effect)) {
         for (const RunReport& report : reports_effect->reports()) {
           reports.push_back(report);
@@ -165,6 +166,15 @@
     return std::nullopt;
   }
 
+  // the log lines of an event so far
+  std::vector<std::string> Lines(const std::string& event) const {
+    std::vector<std::string> found;
+    for (const LogEvent& line : lines) {
+      if (line.name() == event) found.push_back(line.Line());
+    }
+    return found;
+  }
+
   Instant now = FromUnixMillis(1700000000000);
   std::vector<StartRun> starts;
   std::vector<StopRun> stops;
@@ -172,6 +182,7 @@
   std::vector<RunReport> reports;
   std::vector<NodeId> report_recipients;
   std::vector<WorkerLoss> losses;
+  std::vector<LogEvent> lines;
   CrashLedger crashes;
   ScriptedLiveness liveness;
 
@@ -184,6 +195,69 @@
 
 }  // namespace
 
+TEST_CASE("the log tells of the first adoption of a run, and what the owner knew of it") {
+  const std::string run = "event=run_adopted worker=w1 job=0000000000000007 step=0 task=0 run=1 ";
+  const std::string by = "coordinator=" + kCoordinator.text();
+  OwnerHarness owner;
+  const auto repeat = [&owner] {
+    for (int i = 0; i < 5; ++i) {
+      owner.now += Millis(100);
+      owner.Feed(owner.Adoption(0));
+    }
+  };
+  SECTION("a worker of another owner") {
+    repeat();
+    CHECK(owner.Lines("run_adopted") == std::vector<std::string>{run + by + " known=not_owner"});
+  }
+  owner.AcquireWorkers({Listing("w1", 10)});
+  SECTION("a run that the worker has not reported") {
+    owner.Feed(owner.Adoption(0));
+    CHECK(owner.Lines("run_adopted") == std::vector<std::string>{run + by + " known=no"});
+  }
+  SECTION("a run that it started, claimed again and again") {
+    owner.Place({0});
+    owner.AnswerStart(owner.starts.at(0), CallOutcome::kOk);
+    repeat();
+    repeat();
+    CHECK(owner.Lines("run_adopted") == std::vector<std::string>{run + by + " known=yes"});
+    SECTION("by another coordinator") {
+      const AdoptRun own = owner.Adoption(0);
+      owner.Feed(AdoptRun(kOtherCoordinator, own.service(), own.worker(), own.run(), own.needs(),
+                          own.estimate()));
+      REQUIRE(owner.Lines("run_adopted").size() == 2);
+      CHECK(owner.Lines("run_adopted")[1] ==
+            run + "coordinator=" + kOtherCoordinator.text() + " known=yes");
+    }
+    SECTION("after a while") {
+      owner.now += Millis(5000);
+      owner.Feed(owner.Adoption(0));
+      CHECK(owner.Lines("run_adopted").size() == 2);
+    }
+  }
+}
+
+TEST_CASE("the log tells of a run whose end the worker reported before its adoption") {
+  OwnerHarness owner;
+  owner.Feed(WorkerAssignment({Listing("w1", 10)}, {}));
+  owner.AnswerRenewal({}, {EndedRun(1, Run(0), RunEnd::kDone)});
+  owner.Feed(owner.Adoption(0));
+  REQUIRE(owner.Lines("run_adopted").size() == 1);
+  CHECK(owner.Lines("run_adopted")[0].find("known=ended") != std::string::npos);
+}
+
+TEST_CASE("the log tells of an order that arrives after its cancel") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.Feed(CancelRuns(kCoordinator, kService, {Run(0)}));
+  CHECK(owner.Lines("order_after_cancel").empty());
+  owner.Place({0});
+  CHECK(owner.starts.empty());
+  CHECK(owner.Lines("order_after_cancel") ==
+        std::vector<std::string>{"event=order_after_cancel job=0000000000000007 step=0 task=0 "
+                                 "run=1 coordinator=" +
+                                 kCoordinator.text()});
+}
+
 TEST_CASE("a worker is never overcommitted, even while starts are unanswered") {
   OwnerHarness owner;
   owner.AcquireWorkers({Listing("w1", 10)});
