Log repeated losses of a link as a count

`LinkLossLog` writes the first loss at once, then for each member and reason a line every 5 s at most, with `losses`. The field is new; event name, `member` and `why` are as before.

--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -22,6 +22,7 @@
 #include "sapphireflow/recovery/crash_ledger.h"
 #include "sapphireflow/routing/configuration_keeper.h"
 #include "sapphireflow/routing/dispatch_event.h"
+#include "sapphireflow/routing/link_loss_log.h"
 #include "sapphireflow/settings/dispatch_settings.h"
 
 namespace sapphireflow {
@@ -100,6 +101,7 @@
 
   // logs an adoption that is too old unless it repeats one that was
   void LogOutdated(const AdoptRun& adoption, EventContext& ctx);
+  void LogLinkLosses(EventContext& ctx);
   void HandleMemberChanges(const MemberChanges& changes, EventContext& ctx);
   // records a loss seen by this VM and tells its zone and the relays of the others
   void RecordLoss(const WorkerLoss& loss, EventContext& ctx);
@@ -154,6 +156,7 @@
   CrashLedger m_crashes;
   CapacityView m_capacity;
   MemberTable m_members;
+  LinkLossLog m_link_losses;
   WorkerList m_worker_list;
   ConfigurationKeeper m_configuration;
   // invariant: fixed after construction; each shard has its own lock
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -165,6 +165,7 @@
   const bool was_isolated = m_members.Isolated();
   HandleMemberChanges(m_members.OnTick(ctx.now), ctx);
   if (m_members.Isolated() != was_isolated) AssignWorkers(ctx);
+  LogLinkLosses(ctx);
   QueueForAllOwnerShards(OwnerTick(), ctx);
   QueueForAllJobShards(JobTick(), ctx);
   ProcessQueue(ctx);
--- a/src/routing/dispatch_node_peers.cc
+++ b/src/routing/dispatch_node_peers.cc
@@ -189,6 +189,10 @@
   HandleEvent(message, ctx);
 }
 
+void DispatchNode::LogLinkLosses(EventContext& ctx) {
+  for (LogEvent& line : m_link_losses.DueLines(ctx.now)) ctx.out.emplace_back(std::move(line));
+}
+
 void DispatchNode::HandleMemberChanges(const MemberChanges& changes, EventContext& ctx) {
   if (changes.empty()) return;
   for (const MemberChange& change : changes) {
@@ -208,10 +212,11 @@
         m_capacity.Forget(change.node());
         break;
       case MemberChange::Kind::kLinkLost:
-        name = "member_link_lost";
         QueueForAllJobShards(OwnerLinkLost(change.node()), ctx);
         SendLossesTo(change.node(), ctx.now - kLostWithLink, ctx);
-        break;
+        m_link_losses.Record(change.node(), change.why(), ctx.now);
+        LogLinkLosses(ctx);
+        continue;
     }
     ctx.out.emplace_back(LogEvent(
         change.kind() == MemberChange::Kind::kJoined ? LogLevel::kInfo : LogLevel::kWarning, name,
--- a/tests/unit/unit-dispatch_node.cpp
+++ b/tests/unit/unit-dispatch_node.cpp
@@ -66,3 +66,19 @@
   adopt(0);
   CHECK(node.Lines("adoption_outdated").size() == 3);
 }
+
+// Guards against lines of requests that drown in those of links that break twice a second.
+TEST_CASE("a link that breaks again and again is logged with a count") {
+  LoggingMember node;
+  std::uint64_t losses = 0;
+  for (int i = 0; i < 200; ++i) {
+    node.now += Millis(50);
+    if (i % 10 == 1) ++losses;
+    node.Feed(MemberHeartbeat(MemberListing(kMember, "celaya", 250), false,
+                              static_cast<std::uint64_t>(i + 1), 0, losses, 0, 0));
+    node.Feed(DispatchTick());
+  }
+  const std::string line =
+      "event=member_link_lost member=" + kMember.text() + " why=peer_link_lost losses=";
+  CHECK(node.Lines("member_link_lost") == std::vector<std::string>{line + "1", line + "10"});
+}
