--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -96,11 +96,13 @@
     std::optional<WorkerIncarnation> incarnation;
     // whether the current run has its worker alone
     bool alone = false;
-    // both valid only while orphaned
+    // all valid only while orphaned
     Instant orphaned_at{};
     // when the last claim or heartbeat that confirms the run may have been sent
     Instant claimed_at{};
     Instant next_request_at{};
+    // adoption and cancel requests sent
+    std::uint32_t requests = 0;
   };
   struct Job {
     JobOrderPtr order;
@@ -159,7 +161,9 @@
                    JobEffects& out) const;
   // called after a run has ended: places ready tasks, or completes a refusal in progress
   void ContinueJob(Job& job, Instant now, JobEffects& out);
-  static void Orphan(Task& task, Instant now);
+  // starts the recovery of the current run of a task; `why` is for the log
+  static void Orphan(const TaskKey& key, Task& task, const char* why, Instant now, JobEffects& out);
+  static void LogRecovered(const TaskKey& key, const Task& task, Instant now, JobEffects& out);
   void HandleOrphans(Job& job, Instant now, JobEffects& out);
   // whether the run has certainly ended, by the leases that its owners may have granted
   bool HasLapsed(const Task& task, Instant now) const;
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -145,6 +145,12 @@
                   m_liveness.WantedAt(adoption.coordinator(), adoption.run(), now));
 }
 
+AdoptedState WorkerSession::StateOf(const RunKey& run) const {
+  if (m_runs.count(run) > 0) return AdoptedState::kKnown;
+  if (m_phase == Phase::kFenced || m_phase == Phase::kTerminated) return AdoptedState::kNotOwner;
+  return m_unclaimed_ends.count(run) > 0 ? AdoptedState::kEnded : AdoptedState::kUnknown;
+}
+
 bool WorkerSession::Cancel(const RunKey& run, const NodeId& coordinator) {
   const auto found = m_runs.find(run);
   if (found == m_runs.end()) return false;
--- a/src/routing/dispatch_node_peers.cc
+++ b/src/routing/dispatch_node_peers.cc
@@ -1,6 +1,7 @@
 // Part of routing: messages from other members and membership changes.
 #include <utility>
 
+#include "sapphireflow/dispatch/detail/log_fields.h"
 #include "sapphireflow/routing/dispatch_node.h"
 
 namespace sapphireflow {
@@ -51,10 +52,25 @@
 void DispatchNode::Receive(const AdoptRun& message, EventContext& ctx) {
   m_members.OnEcho(message.coordinator(), message.echo());
   // the coordinator repeats the request while it still wants the run
-  if (!m_members.IsFresh(message.coordinator(), message.echo(), ctx.now)) return;
+  if (!m_members.IsFresh(message.coordinator(), message.echo(), ctx.now)) {
+    LogOutdated(message, ctx);
+    return;
+  }
   ctx.work.emplace_back(OwnerWork{OwnerShardOf(message.service()), message});
 }
 
+void DispatchNode::LogOutdated(const AdoptRun& adoption, EventContext& ctx) {
+  {
+    std::lock_guard<std::mutex> lock(m_outdated_mutex);
+    if (!m_logged_outdated.IsNew({adoption.run(), adoption.coordinator()}, ctx.now)) return;
+  }
+  LogEvent::Pairs pairs = {{"coordinator", adoption.coordinator().text()}};
+  const LogEvent::Pairs run = detail::RunFields(adoption.run());
+  pairs.insert(pairs.end(), run.begin(), run.end());
+  pairs.emplace_back("echo", std::to_string(adoption.echo()));
+  ctx.out.emplace_back(LogEvent(LogLevel::kWarning, "adoption_outdated", std::move(pairs)));
+}
+
 void DispatchNode::Receive(const RunReports& message, EventContext& ctx) {
   for (const CapacityDigest& digest : message.free_capacity().digests()) {
     if (message.free_capacity().complete()) {
@@ -181,6 +197,10 @@
   HandleEvent(message, ctx);
 }
 
+void DispatchNode::LogLinkLosses(EventContext& ctx) {
+  for (LogEvent& line : m_link_losses.DueLines(ctx.now)) ctx.out.emplace_back(std::move(line));
+}
+
 void DispatchNode::HandleMemberChanges(const MemberChanges& changes, EventContext& ctx) {
   if (changes.empty()) return;
   for (const MemberChange& change : changes) {
@@ -200,10 +220,11 @@
         m_capacity.Forget(change.node());
         break;
       case MemberChange::Kind::kLinkLost:
-        name = "member_link_lost";
         QueueForAllJobShards(OwnerLinkLost(change.node()), ctx);
         SendLossesTo(change.node(), ctx.now - kLostWithLink, ctx);
-        break;
+        m_link_losses.Record(change.node(), change.why(), ctx.now);
+        LogLinkLosses(ctx);
+        continue;
     }
     ctx.out.emplace_back(LogEvent(
         change.kind() == MemberChange::Kind::kJoined ? LogLevel::kInfo : LogLevel::kWarning, name,
