--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -71,12 +71,12 @@
   sapphireflow::platform::WorkerCalls workers(http);
   const sapphireflow::platform::AnswerFormat format;
   std::optional<sapphireflow::Address> metrics_address;
-  if (metrics_port > 0) metrics_address.emplace(addresses.peers().ip(), metrics_port);
+  if (metrics_port > 0) metrics_address.emplace(addresses.peer_listener().ip(), metrics_port);
   sapphireflow::Metrics metrics;
   sapphireflow::DispatchService service(
       sapphireflow::DispatchServiceOptions(
           settings.zone(), settings.milli_cores(), addresses.callers(), addresses.readiness(),
-          addresses.peers(), settings.stop_grace(), metrics_address),
+          addresses.peers(), addresses.peer_listener(), settings.stop_grace(), metrics_address),
       sapphireflow::DispatchSettings(settings.lease_limits(), settings.drain_timeout(),
                                      settings.remote_factor(), "least-slack", "slowest-sufficient",
                                      "consecutive-failures"),
--- a/include/sapphireflow/transport/dispatch_service.h
+++ b/include/sapphireflow/transport/dispatch_service.h
@@ -20,13 +20,15 @@
 class DispatchServiceOptions : public Comparable<DispatchServiceOptions> {
  public:
   DispatchServiceOptions(std::string zone, std::uint32_t milli_cores, const Address& callers,
-                         const Address& readiness, const Address& peers, Duration stop_grace,
+                         const Address& readiness, const Address& peers,
+                         const Address& peer_listener, Duration stop_grace,
                          const std::optional<Address>& metrics)
       : m_zone(std::move(zone)),
         m_milli_cores(milli_cores),
         m_callers(callers),
         m_readiness(readiness),
         m_peers(peers),
+        m_peer_listener(peer_listener),
         m_stop_grace(stop_grace),
         m_metrics(metrics) {}
   const std::string& zone() const { return m_zone; }
@@ -34,14 +36,18 @@
   std::uint32_t milli_cores() const { return m_milli_cores; }
   const Address& callers() const { return m_callers; }
   const Address& readiness() const { return m_readiness; }
+  /// @brief Address announced to peers.
   const Address& peers() const { return m_peers; }
+  /// @brief Listening address for peers. Differs from the announced one behind an address
+  /// translation or a proxy.
+  const Address& peer_listener() const { return m_peer_listener; }
   /// @brief Time from the stop request until the process is killed.
   Duration stop_grace() const { return m_stop_grace; }
   /// @brief Address that serves the metrics; if not set, they are not served.
   const std::optional<Address>& metrics() const { return m_metrics; }
   auto Fields() const {
-    return std::tie(m_zone, m_milli_cores, m_callers, m_readiness, m_peers, m_stop_grace,
-                    m_metrics);
+    return std::tie(m_zone, m_milli_cores, m_callers, m_readiness, m_peers, m_peer_listener,
+                    m_stop_grace, m_metrics);
   }
 
  private:
@@ -50,6 +56,7 @@
   Address m_callers;
   Address m_readiness;
   Address m_peers;
+  Address m_peer_listener;
   Duration m_stop_grace;
   std::optional<Address> m_metrics;
 };
--- a/tests/unit/unit-platform.cpp
+++ b/tests/unit/unit-platform.cpp
@@ -68,6 +68,30 @@
   CHECK(settings.stop_grace() == std::chrono::seconds(6));
 }
 
+TEST_CASE("the address that a process announces to peers and the one it listens on may differ") {
+  const auto read = ReadPlatformSettings(kSettings, "boot.conf");
+  REQUIRE(std::get_if<PlatformSettings>(&read) != nullptr);
+  const auto& addresses = std::get<PlatformSettings>(read).addresses();
+  CHECK(addresses.peer_listener() == addresses.peers());
+
+  const auto bound =
+      ReadPlatformSettings(kSettings + "listen_addresses.peers=10.1.0.14:7730\n", "boot.conf");
+  REQUIRE(std::get_if<PlatformSettings>(&bound) != nullptr);
+  const auto& bound_addresses = std::get<PlatformSettings>(bound).addresses();
+  CHECK(bound_addresses.peers().text() == "10.1.0.13:7720");
+  CHECK(bound_addresses.peer_listener().text() == "10.1.0.14:7730");
+  CHECK(bound_addresses != addresses);
+
+  for (const char* const value : {"", "7730", "10.1.0.14:"}) {
+    INFO(value);
+    const auto wrong =
+        ReadPlatformSettings(kSettings + "listen_addresses.peers=" + value + "\n", "boot.conf");
+    REQUIRE(std::get_if<Findings>(&wrong) != nullptr);
+    REQUIRE(std::get<Findings>(wrong).size() == 1);
+    CHECK(std::get<Findings>(wrong)[0].place() == "boot.conf: listen_addresses.peers");
+  }
+}
+
 TEST_CASE("all errors in the settings file are reported together, with their keys") {
   std::string text = RemoveSetting(RemoveSetting(kSettings, "zone"), "platform.address");
   text += "listen_addresses.front=nowhere\n";
