--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -88,6 +88,17 @@
   Submit(plan, "jobs", kCallerDeadline);
 }
 
+void Callers::SubmitLongJob() {
+  JobPlan plan;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    plan = RandomPlanLocked();
+    plan.milli_cores = std::int64_t{1000} * (1 + RandomBelow(2));
+    plan.run_duration = std::chrono::milliseconds(2000 + RandomBelow(2500));
+  }
+  Submit(plan, "patient", kPatientDeadline);
+}
+
 void Callers::SubmitDeadlyJob() {
   JobPlan plan;
   {
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -32,6 +32,8 @@
 
   /// @brief Submits a new job with random size and run time to a random node.
   void SubmitRandomJob();
+  /// @brief Submits a job with tasks of several seconds and a long deadline.
+  void SubmitLongJob();
   /// @brief Submits a job with a long deadline whose first task crashes each worker that starts it.
   void SubmitDeadlyJob();
   /// @brief Checks on every node that a queue added by the newest configuration exists.
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -1,12 +1,16 @@
 // Forwards the bytes of all connections on one thread.
 #include "fault_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <atomic>
+#include <map>
 #include <set>
 #include <thread>
 
+#include "process_sockets.h"
+
 namespace sapphireflow::soak {
 namespace {
 
@@ -34,7 +38,12 @@
 class ProxiedConnection : public std::enable_shared_from_this<ProxiedConnection> {
  public:
   ProxiedConnection(tcp::socket caller, asio::io_context& context, const Faults& faults)
-      : m_caller(std::move(caller)), m_callee(context), m_context(context), m_faults(faults) {}
+      : m_caller(std::move(caller)), m_callee(context), m_context(context), m_faults(faults) {
+    asio::error_code ignored;
+    m_caller_port = m_caller.remote_endpoint(ignored).port();
+  }
+
+  std::uint16_t caller_port() const { return m_caller_port; }
 
   void Start(const Address& target) {
     m_callee.async_connect(Endpoint(target), [self = shared_from_this()](asio::error_code failed) {
@@ -95,6 +104,7 @@
   tcp::socket m_callee;
   asio::io_context& m_context;
   const Faults& m_faults;
+  std::uint16_t m_caller_port = 0;
   bool m_bytes_dropped = false;
   Buffer m_to_callee{};
   Buffer m_to_caller{};
@@ -105,7 +115,7 @@
 class FaultProxy::Impl {
  public:
   Impl(const Address& listen, const Address& target)
-      : m_target(target), m_acceptor(m_context, Endpoint(listen)) {
+      : m_listen(listen), m_target(target), m_acceptor(m_context, Endpoint(listen)) {
     Accept();
     m_thread = std::thread([this] { m_context.run(); });
   }
@@ -120,7 +130,8 @@
   void SetFault(LinkFault fault, Duration delay) {
     m_faults.delay = delay.count();
     m_faults.fault = fault;
-    if (fault == LinkFault::kRefused) ResetAll();
+    if (fault == LinkFault::kRefused || fault == LinkFault::kNotListening) ResetAll();
+    asio::post(m_context, [this, fault] { Listen(fault != LinkFault::kNotListening); });
   }
 
   void ResetAll() {
@@ -140,10 +151,45 @@
     });
   }
 
+  void RefuseFrom(std::size_t caller, pid_t process) {
+    asio::post(m_context, [this, caller, process] {
+      m_refused_callers[caller] = process;
+      const std::set<std::uint16_t> ports = LocalTcpPorts(process, m_listen);
+      for (const auto& weak : m_proxied_connections) {
+        const auto proxied_connection = weak.lock();
+        if (proxied_connection && ports.count(proxied_connection->caller_port()) > 0) {
+          proxied_connection->End();
+        }
+      }
+    });
+  }
+
+  void AcceptFrom(std::size_t caller) {
+    asio::post(m_context, [this, caller] { m_refused_callers.erase(caller); });
+  }
+
  private:
+  void Listen(bool listen) {
+    if (listen == m_acceptor.is_open()) return;
+    if (!listen) return m_acceptor.close();
+    m_acceptor = tcp::acceptor(m_context, Endpoint(m_listen));
+    Accept();
+  }
+
+  bool IsRefused(const tcp::socket& caller) const {
+    if (m_faults.fault == LinkFault::kRefused) return true;
+    asio::error_code ignored;
+    const std::uint16_t port = caller.remote_endpoint(ignored).port();
+    return std::any_of(m_refused_callers.begin(), m_refused_callers.end(),
+                       [&](const auto& refused) {
+                         return LocalTcpPorts(refused.second, m_listen).count(port) > 0;
+                       });
+  }
+
   void Accept() {
     m_acceptor.async_accept([this](asio::error_code failed, tcp::socket caller) {
-      if (!failed && m_faults.fault == LinkFault::kRefused) {
+      if (failed == asio::error::operation_aborted) return;
+      if (!failed && IsRefused(caller)) {
         Reset(caller);
       } else if (!failed) {
         const auto proxied_connection =
@@ -155,6 +201,7 @@
     });
   }
 
+  const Address m_listen;
   const Address m_target;
   Faults m_faults;
   asio::io_context m_context;
@@ -162,6 +209,7 @@
   // accessed by the proxy's thread only
   std::set<std::weak_ptr<ProxiedConnection>, std::owner_less<std::weak_ptr<ProxiedConnection>>>
       m_proxied_connections;
+  std::map<std::size_t, pid_t> m_refused_callers;
   std::thread m_thread;
 };
 
@@ -171,5 +219,9 @@
 void FaultProxy::SetFault(LinkFault fault, Duration delay) { m_impl->SetFault(fault, delay); }
 void FaultProxy::ResetAll() { m_impl->ResetAll(); }
 void FaultProxy::SilenceAll() { m_impl->SilenceAll(); }
+void FaultProxy::RefuseFrom(std::size_t caller, pid_t process) {
+  m_impl->RefuseFrom(caller, process);
+}
+void FaultProxy::AcceptFrom(std::size_t caller) { m_impl->AcceptFrom(caller); }
 
 }  // namespace sapphireflow::soak
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -2,6 +2,9 @@
 #ifndef SAPPHIREFLOW_TESTS_SOAK_FAULT_PROXY_H_
 #define SAPPHIREFLOW_TESTS_SOAK_FAULT_PROXY_H_
 
+#include <sys/types.h>
+
+#include <cstddef>
 #include <memory>
 
 #include "sapphireflow/model/address.h"
@@ -12,10 +15,11 @@
 /// @brief Fault of the connections through a proxy.
 enum class LinkFault {
   kNone,
-  kDelayed,   ///< each chunk is forwarded after a delay
-  kSilenced,  ///< nothing arrives in either direction; connections stay open
-  kOneWay,    ///< bytes from the target to the caller are dropped
-  kRefused,   ///< open connections are reset, and new ones as soon as they are accepted
+  kDelayed,       ///< each chunk is forwarded after a delay
+  kSilenced,      ///< nothing arrives in either direction; connections stay open
+  kOneWay,        ///< bytes from the target to the caller are dropped
+  kRefused,       ///< open connections are reset, and new ones as soon as they are accepted
+  kNotListening,  ///< open connections are reset, and new ones are not accepted
 };
 
 /// @brief Forwards TCP connections from one address to another. Thread-safe.
@@ -33,6 +37,11 @@
   void ResetAll();
   /// @brief Makes all connections that are open now silent for good, without a reset.
   void SilenceAll();
+  /// @brief Resets the connections that a process has opened, and new ones of it as soon as they
+  /// are accepted.
+  /// @param caller by which `AcceptFrom` ends it
+  void RefuseFrom(std::size_t caller, pid_t process);
+  void AcceptFrom(std::size_t caller);
 
  private:
   class Impl;
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -19,6 +19,9 @@
 constexpr std::uint16_t kFrontPort = 8161;
 constexpr std::uint16_t kReadyPort = 8167;
 constexpr std::uint16_t kFrontLinkPort = 8261;
+// announced to the other nodes; the proxy listens there
+constexpr std::uint16_t kPeerLinkPort = 7720;
+constexpr std::uint16_t kPeerPort = 7820;
 constexpr std::uint16_t kStorePort = 8169;
 constexpr std::uint16_t kWorkerPort = 8000;
 constexpr std::uint16_t kWorkerLinkPort = 8100;
@@ -105,6 +108,8 @@
   part->store_link = std::make_unique<FaultProxy>(store, SlotAddress(kStore, kStorePort));
   part->front_link = std::make_unique<FaultProxy>(SlotAddress(host, kFrontLinkPort),
                                                   SlotAddress(host, kFrontPort));
+  part->peer_link =
+      std::make_unique<FaultProxy>(SlotAddress(host, kPeerLinkPort), SlotAddress(host, kPeerPort));
   part->readiness = SlotAddress(host, kReadyPort);
   part->process =
       std::make_unique<NodeProcess>(m_plan.program, WriteSettings(index, store),
@@ -120,7 +125,9 @@
                       << "\nzone=" << ZoneOf(index)
                       << "\nlisten_addresses.front=" << SlotAddress(host, kFrontPort).text()
                       << "\nlisten_addresses.ready=" << SlotAddress(host, kReadyPort).text()
-                      << "\ninternal_port_range=7720,7735\nlimits.cpu_share=0.25\nlimits.cores=1\n"
+                      << "\nlisten_addresses.peers=" << SlotAddress(host, kPeerPort).text()
+                      << "\ninternal_port_range=" << kPeerLinkPort << "," << kPeerLinkPort
+                      << "\nlimits.cpu_share=0.25\nlimits.cores=1\n"
                       << "bounds.max_hold_ms=1000\nbounds.retry_ms=1300\nbounds.drain_timeout_ms="
                          "2000\nbounds.grace_period_s=6\n"
                       << "bounds.remote_factor=2\nplatform.address=" << store.text() << "\n";
@@ -200,6 +207,20 @@
   for (const auto& part : m_nodes) part->store_link->SilenceAll();
 }
 
+void Fleet::BreakPeerLinks(std::size_t node, LinkDirection direction, LinkFault fault) {
+  if (direction != LinkDirection::kOutOf) peer_link(node).SetFault(fault);
+  const pid_t process = m_nodes[node]->process->pid();
+  if (direction == LinkDirection::kInto || process == 0) return;
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    if (i != node) peer_link(i).RefuseFrom(node, process);
+  }
+}
+
+void Fleet::HealPeerLinks(std::size_t node) {
+  peer_link(node).SetFault(LinkFault::kNone);
+  for (const auto& part : m_nodes) part->peer_link->AcceptFrom(node);
+}
+
 void Fleet::SetCapacity(std::size_t worker, std::int64_t milli_cores) {
   m_workers[worker]->worker->SetCapacity(milli_cores);
   SetRegistered(worker, true);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -42,6 +42,9 @@
   bool direct_callers = false;
 };
 
+/// @brief Direction of the links between nodes that a fault affects, as seen from one node.
+enum class LinkDirection { kBoth, kInto, kOutOf };
+
 /// @brief Owns all components of a run. Each component is thread-safe by its own lock, except for
 /// the process of each node, which only the thread that runs the schedule may use.
 class Fleet : public CrashListener {
@@ -65,6 +68,10 @@
   /// to workers and the store silent for good.
   void ResetAllConnections();
   void SilenceAllConnections();
+  /// @brief Resets links between a node and all others. New ones fail until `HealPeerLinks`.
+  /// @param fault how new links into the node fail: `kRefused` or `kNotListening`
+  void BreakPeerLinks(std::size_t node, LinkDirection direction, LinkFault fault);
+  void HealPeerLinks(std::size_t node);
   /// @brief Changes the capacity of a worker and publishes it.
   void SetCapacity(std::size_t worker, std::int64_t milli_cores);
   /// @brief Crashes a worker and starts its next incarnation at once.
@@ -93,6 +100,7 @@
   NodeProcess& node(std::size_t index) { return *m_nodes[index]->process; }
   FaultProxy& store_link(std::size_t index) { return *m_nodes[index]->store_link; }
   FaultProxy& front_link(std::size_t index) { return *m_nodes[index]->front_link; }
+  FaultProxy& peer_link(std::size_t index) { return *m_nodes[index]->peer_link; }
   std::size_t nodes() const { return m_nodes.size(); }
   std::size_t workers() const { return m_workers.size(); }
 
@@ -108,6 +116,7 @@
   struct NodePart {
     std::unique_ptr<FaultProxy> store_link;  // from the node to the store
     std::unique_ptr<FaultProxy> front_link;  // from the callers to the node
+    std::unique_ptr<FaultProxy> peer_link;   // from the other nodes to the node
     std::unique_ptr<NodeProcess> process;
     Address readiness;
   };
--- a/tests/soak/node_process.h
+++ b/tests/soak/node_process.h
@@ -30,6 +30,8 @@
   /// @brief Checks without blocking whether the process has ended, and records its exit code if so.
   bool HasEnded();
   bool running() const { return m_pid > 0; }
+  /// @brief Id of the process; 0 if none runs.
+  pid_t pid() const { return m_pid; }
   /// @brief What is wrong with how the last process ended: it was not asked to, or it was stopped
   /// and reported a failure. Empty if nothing is.
   std::string EndProblem() const;
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -28,6 +28,8 @@
   bool only_planned_stops() const { return m_only_planned_stops; }
   /// @brief Whether callers connect to the nodes without a proxy.
   virtual bool direct_callers() const = 0;
+  /// @brief Whether some jobs have tasks of several seconds and long deadlines.
+  virtual bool has_long_jobs() const { return false; }
 
  protected:
   /// @param length time within which faults begin; they may end a few seconds after it
@@ -43,6 +45,10 @@
   void AddWorkerFault();
   void AddLinkFault();
   void AddConfigurationChanges();
+  // signals to one node that follow each other closely
+  void AddNodeSeries(std::size_t node, Duration at);
+  void AddWorkerSeries(std::size_t worker, Duration at);
+  void AddConfigurationSeries(Duration at);
   // adds a fault with a random begin and duration
   void AddTimedFault(const std::string& text, std::function<void(Fleet&)> begin,
                      std::function<void(Fleet&)> end);
@@ -56,11 +62,20 @@
   std::size_t RandomWorker() { return RandomIndex(m_workers); }
 
  private:
+  void AddSignal(std::size_t node, Duration at, int signal);
+  // ends the process by the signal, and starts the next one as soon as the platform would
+  void AddEnd(std::size_t node, Duration at, int signal);
+  void AddFreeze(std::size_t node, Duration at);
+  // a signal that may come at any time, also while the node stops
+  void AddRandomSignal(std::size_t node, Duration at);
+
   std::mt19937 m_random;
   const std::size_t m_nodes;
   const std::size_t m_workers;
   const Duration m_length;
   bool m_only_planned_stops = false;
+  // when the last step of the series that is being added is due
+  Duration m_series_end{};
   std::vector<Step> m_steps;
 };
 
--- a/tests/soak/series_schedule.h
+++ b/tests/soak/series_schedule.h
@@ -15,8 +15,6 @@
   bool direct_callers() const override { return true; }
 
  private:
-  void AddNodeSeries(std::size_t node, Duration at);
-  void AddWorkerSeries(std::size_t worker, Duration at);
   // jobs whose task crashes each worker that starts it
   void AddDeadlyJobs(Duration at);
   void AddShrinking(std::size_t worker, Duration at);
@@ -24,16 +22,6 @@
   void AddConnectionLoss(Duration at);
   // an entry in the list of workers that names no worker to use
   void AddOddEntry(Duration at);
-  void AddConfigurationSeries(Duration at);
-  void AddSignal(std::size_t node, Duration at, int signal);
-  // ends the process by the signal, and starts the next one as soon as the platform would
-  void AddEnd(std::size_t node, Duration at, int signal);
-  void AddFreeze(std::size_t node, Duration at);
-  // a signal that may come at any time, also while the node stops
-  void AddRandomSignal(std::size_t node, Duration at);
-
-  // when the last step of the series that is being added is due
-  Duration m_series_end{};
 };
 
 }  // namespace sapphireflow::soak
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -7,6 +7,7 @@
 #include <future>
 #include <iostream>
 
+#include "link_schedule.h"
 #include "mixed_schedule.h"
 #include "series_schedule.h"
 
@@ -16,6 +17,7 @@
 using sapphireflow::Instant;
 using sapphireflow::soak::Fleet;
 using sapphireflow::soak::FleetPlan;
+using sapphireflow::soak::LinkSchedule;
 using sapphireflow::soak::MixedSchedule;
 using sapphireflow::soak::Schedule;
 using sapphireflow::soak::SeriesSchedule;
@@ -32,6 +34,9 @@
 // Loads the workers to two fifths of their capacity on average, which leaves free capacity for
 // bursts of large jobs.
 constexpr Duration kArrivalIntervalOfOneWorker = std::chrono::milliseconds(240);
+// With long jobs, of which each takes as much as six others: half of the load are long ones.
+constexpr Duration kMixedArrivalIntervalOfOneWorker = std::chrono::milliseconds(480);
+constexpr std::uint32_t kJobsPerLongJob = 6;
 // Every job that is submitted while no fault is active has to be served; a thousandth of them may
 // miss that by chance.
 constexpr double kMaxUnservedShare = 0.001;
@@ -49,17 +54,42 @@
                     [&fleet, until] { SubmitPeriodically(fleet, until); });
 }
 
-std::unique_ptr<const Schedule> MakeSchedule(const FleetPlan& plan, bool series) {
-  if (series) {
+void SubmitWithLongJobs(Fleet& fleet, Instant until, std::uint32_t jobs = 0) {
+  if (fleet.clock().Now() >= until) return;
+  if (jobs % kJobsPerLongJob == 0) {
+    fleet.callers().SubmitLongJob();
+  } else {
+    fleet.callers().SubmitRandomJob();
+  }
+  fleet.timers().At(fleet.clock().Now() + kMixedArrivalIntervalOfOneWorker / fleet.workers(),
+                    [&fleet, until, jobs] { SubmitWithLongJobs(fleet, until, jobs + 1); });
+}
+
+void Submit(Fleet& fleet, const Schedule& schedule, Instant until) {
+  if (schedule.has_long_jobs()) {
+    SubmitWithLongJobs(fleet, until);
+  } else {
+    SubmitPeriodically(fleet, until);
+  }
+}
+
+enum class ScheduleKind { kMixed, kSeries, kLinks };
+
+std::unique_ptr<const Schedule> MakeSchedule(const FleetPlan& plan, ScheduleKind kind) {
+  if (kind == ScheduleKind::kSeries) {
     return std::make_unique<const SeriesSchedule>(plan.seed, plan.nodes, plan.workers, kFaultTime);
   }
+  if (kind == ScheduleKind::kLinks) {
+    return std::make_unique<const LinkSchedule>(plan.seed, plan.nodes, plan.workers, plan.zones,
+                                                kFaultTime);
+  }
   return std::make_unique<const MixedSchedule>(plan.seed, plan.nodes, plan.workers, kFaultTime);
 }
 
-bool RunSeed(FleetPlan plan, bool series, bool show) {
+bool RunSeed(FleetPlan plan, ScheduleKind kind, bool show) {
   std::filesystem::remove_all(plan.folder);
   std::filesystem::create_directories(plan.folder);
-  const auto schedule = MakeSchedule(plan, series);
+  const auto schedule = MakeSchedule(plan, kind);
   plan.direct_callers = schedule->direct_callers();
   Fleet fleet(plan);
   if (!fleet.Start()) {
@@ -71,7 +101,7 @@
   Duration last = kFaultTime;
   for (const Step& step : schedule->steps()) last = std::max(last, step.at);
   const Instant end = begin + last + kMaxRecoveryTime + kFaultFreeTime;
-  SubmitPeriodically(fleet, end);
+  Submit(fleet, *schedule, end);
   fleet.callers().SetOnlyPlannedStops(schedule->only_planned_stops());
   for (const Step& step : schedule->steps()) {
     WaitUntil(fleet, begin + step.at);
@@ -85,7 +115,7 @@
   const Instant limit = end + kMaxLateFaults;
   while (!fleet.fault_tracker().NoFaultFor(kCalmTime) && fleet.clock().Now() < limit) {
     const Instant next = fleet.clock().Now() + kLateFaultCheck;
-    SubmitPeriodically(fleet, next);
+    Submit(fleet, *schedule, next);
     WaitUntil(fleet, next);
   }
   const Instant calm = std::max(begin + last, fleet.fault_tracker().last_end()) + kMaxRecoveryTime;
@@ -133,7 +163,15 @@
   TCLAP::ValueArg<std::uint32_t> zones("z", "zones", "number of zones", false, 1, "count", command);
   TCLAP::SwitchArg show("v", "show", "print each step as it is executed", command);
   TCLAP::SwitchArg series("", "series", "signals, restarts and changes in series", command);
+  TCLAP::SwitchArg links("", "links", "unstable links between nodes, and long jobs", command);
   command.parse(argc, argv);
+  if (series.getValue() && links.getValue()) {
+    std::cerr << "--series and --links exclude each other\n";
+    return 2;
+  }
+  const ScheduleKind kind = series.getValue()  ? ScheduleKind::kSeries
+                            : links.getValue() ? ScheduleKind::kLinks
+                                               : ScheduleKind::kMixed;
   if (nodes.getValue() > FleetPlan::kMaxNodes || workers.getValue() > FleetPlan::kMaxWorkers) {
     std::cerr << "a slot has addresses for " << FleetPlan::kMaxNodes << " nodes and "
               << FleetPlan::kMaxWorkers << " workers\n";
@@ -150,7 +188,7 @@
     plan.nodes = nodes.getValue();
     plan.workers = workers.getValue();
     plan.zones = std::max(1U, zones.getValue());
-    if (!RunSeed(plan, series.getValue(), show.getValue())) ++failed;
+    if (!RunSeed(plan, kind, show.getValue())) ++failed;
   }
   std::cout << count.getValue() - failed << " passed, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
