--- a/tests/soak/node_process.cc
+++ b/tests/soak/node_process.cc
@@ -34,6 +34,8 @@
   posix_spawn_file_actions_addopen(&actions, kOutput, m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                    kMode);
   posix_spawn_file_actions_adddup2(&actions, kOutput, kErrors);
+  // an inherited socket stays open when this process closes it
+  posix_spawn_file_actions_addclosefrom_np(&actions, kErrors + 1);
   posix_spawnattr_t attributes;
   posix_spawnattr_init(&attributes);
   // the child would inherit the signal mask of this thread, which may block signals that it handles
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -34,7 +34,7 @@
 // Loads the workers to two fifths of their capacity on average, which leaves free capacity for
 // bursts of large jobs.
 constexpr Duration kArrivalIntervalOfOneWorker = std::chrono::milliseconds(240);
-// With long jobs, of which each takes as much as six others: half of the load are long ones.
+// With long jobs, which go on for up to kLongDeadline after faults and take capacity meanwhile.
 constexpr Duration kMixedArrivalIntervalOfOneWorker = std::chrono::milliseconds(480);
 constexpr std::uint32_t kJobsPerLongJob = 6;
 // Every job that is submitted while no fault is active has to be served; a thousandth of them may
