--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -20,7 +20,7 @@
 constexpr Duration kPatientDeadline = std::chrono::milliseconds(10000);
 // of jobs with tasks of several seconds
 constexpr Duration kLongDeadline = std::chrono::milliseconds(15000);
-constexpr std::int64_t kLongTaskMilliCores = 300;
+constexpr std::int64_t kLongTaskMilliCores = 150;
 // how much longer than its deadline a caller waits
 constexpr Duration kAnswerSlack = std::chrono::milliseconds(2500);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(4000);
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -210,13 +210,17 @@
 
 void Fleet::BreakPeerLinks(std::size_t node, LinkDirection direction, LinkFault fault) {
   if (direction != LinkDirection::kOutOf) peer_link(node).SetFault(fault);
-  const pid_t process = m_nodes[node]->process->pid();
-  if (direction == LinkDirection::kInto || process == 0) return;
+  if (direction == LinkDirection::kInto) return;
   for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-    if (i != node) peer_link(i).RefuseFrom(node, process);
+    if (i != node) BreakPeerLink(node, i);
   }
 }
 
+void Fleet::BreakPeerLink(std::size_t from, std::size_t to) {
+  const pid_t process = m_nodes[from]->process->pid();
+  if (process != 0) peer_link(to).RefuseFrom(from, process);
+}
+
 void Fleet::HealPeerLinks(std::size_t node) {
   peer_link(node).SetFault(LinkFault::kNone);
   for (const auto& part : m_nodes) part->peer_link->AcceptFrom(node);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -72,6 +72,9 @@
   /// @param fault how new links into the node fail: `kRefused` or `kNotListening`
   void BreakPeerLinks(std::size_t node, LinkDirection direction, LinkFault fault);
   void HealPeerLinks(std::size_t node);
+  /// @brief The same for the link that one node opens to another.
+  void BreakPeerLink(std::size_t from, std::size_t to);
+  void HealPeerLink(std::size_t from, std::size_t to) { peer_link(to).AcceptFrom(from); }
   /// @brief Changes the capacity of a worker and publishes it.
   void SetCapacity(std::size_t worker, std::int64_t milli_cores);
   /// @brief Crashes a worker and starts its next incarnation at once.
--- a/tests/soak/link_schedule.cc
+++ b/tests/soak/link_schedule.cc
@@ -38,9 +38,16 @@
   SortSteps();
 }
 
+LinkDirection LinkSchedule::RandomDirection() {
+  const LinkDirection directions[] = {LinkDirection::kBoth, LinkDirection::kBoth,
+                                      LinkDirection::kInto, LinkDirection::kOutOf};
+  return directions[RandomBelow(4)];
+}
+
 void LinkSchedule::AddUnstableLinks(std::size_t nodes, std::size_t zones, Duration at) {
   std::vector<std::size_t> affected;
   const int scope = RandomBelow(8);
+  if (scope > 5 && nodes > 1) return AddUnstablePair(nodes, at);
   if (scope == 0) {
     for (std::size_t node = 0; node < nodes; ++node) affected.push_back(node);
   } else if (scope < 3 && zones > 1) {
@@ -50,26 +57,49 @@
   } else {
     affected.push_back(RandomNode());
   }
-  const LinkDirection directions[] = {LinkDirection::kBoth, LinkDirection::kBoth,
-                                      LinkDirection::kInto, LinkDirection::kOutOf};
-  const LinkDirection direction = directions[RandomBelow(4)];
-  const Duration end = at + RandomMillis(kMinLengthMs, kMaxLengthMs);
+  const LinkDirection direction = RandomDirection();
+  std::string text = DirectionName(direction);
+  for (const std::size_t node : affected) text += " " + std::to_string(node + 1);
+  AddBreaks(
+      text, at,
+      [affected, direction](Fleet& fleet, LinkFault fault) {
+        for (const std::size_t node : affected) fleet.BreakPeerLinks(node, direction, fault);
+      },
+      [affected](Fleet& fleet) {
+        for (const std::size_t node : affected) fleet.HealPeerLinks(node);
+      });
+}
+
+void LinkSchedule::AddUnstablePair(std::size_t nodes, Duration at) {
+  const std::size_t a = RandomNode();
+  const std::size_t b = (a + 1 + RandomIndex(nodes - 1)) % nodes;
+  const bool one_way = RandomBelow(2) == 0;
+  AddBreaks(
+      WithNumber(WithNumber(one_way ? "link from node" : "links of nodes", a), b), at,
+      [a, b, one_way](Fleet& fleet, LinkFault) {
+        fleet.BreakPeerLink(a, b);
+        if (!one_way) fleet.BreakPeerLink(b, a);
+      },
+      [a, b](Fleet& fleet) {
+        fleet.HealPeerLink(a, b);
+        fleet.HealPeerLink(b, a);
+      });
+}
+
+void LinkSchedule::AddBreaks(const std::string& text, Duration at,
+                             const std::function<void(Fleet&, LinkFault)>& begin,
+                             const std::function<void(Fleet&)>& end) {
+  const Duration stop = at + RandomMillis(kMinLengthMs, kMaxLengthMs);
   const Duration period = RandomMillis(kMinPeriodMs, kMaxPeriodMs);
   const int max_up_ms = kShortestUpMs << RandomBelow(kUpDoublings);
-  AddStep(at, "unstable links", [](Fleet& fleet) { fleet.fault_tracker().BeginFault(); });
-  for (; at < end; at += period) {
+  AddStep(at, "unstable " + text, [](Fleet& fleet) { fleet.fault_tracker().BeginFault(); });
+  for (; at < stop; at += period) {
     const Duration up = std::min(RandomMillis(max_up_ms / 2, max_up_ms), period);
     const LinkFault fault = RandomBelow(2) == 0 ? LinkFault::kRefused : LinkFault::kNotListening;
-    for (const std::size_t node : affected) {
-      const std::string text = WithNumber(DirectionName(direction), node);
-      AddStep(at, "break of " + text, [node, direction, fault](Fleet& fleet) {
-        fleet.BreakPeerLinks(node, direction, fault);
-      });
-      AddStep(at + period - up, "end of break of " + text,
-              [node](Fleet& fleet) { fleet.HealPeerLinks(node); });
-    }
+    AddStep(at, "break of " + text, [begin, fault](Fleet& fleet) { begin(fleet, fault); });
+    AddStep(at + period - up, "end of break of " + text, end);
   }
-  AddStep(at, "end of unstable links", [](Fleet& fleet) { fleet.fault_tracker().EndFault(); });
+  AddStep(at, "end of unstable " + text, [](Fleet& fleet) { fleet.fault_tracker().EndFault(); });
 }
 
 void LinkSchedule::AddOtherFaults(int begin_ms) {
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -36,7 +36,7 @@
 constexpr Duration kArrivalIntervalOfOneWorker = std::chrono::milliseconds(240);
 // With long jobs, which go on for up to kLongDeadline after faults and take capacity meanwhile.
 constexpr Duration kMixedArrivalIntervalOfOneWorker = std::chrono::milliseconds(480);
-constexpr std::uint32_t kJobsPerLongJob = 6;
+constexpr std::uint32_t kJobsPerLongJob = 3;
 // Every job that is submitted while no fault is active has to be served; a thousandth of them may
 // miss that by chance.
 constexpr double kMaxUnservedShare = 0.001;
