--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -1,13 +1,13 @@
 // Forwards the bytes of all connections on one thread.
 #include "fault_proxy.h"
 
-#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <atomic>
 #include <map>
 #include <set>
 #include <thread>
+#include <vector>
 
 #include "process_sockets.h"
 
@@ -17,6 +17,7 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kChunkBytes = 16384;
+constexpr Duration kDecisionPause = std::chrono::milliseconds(10);
 
 tcp::endpoint Endpoint(const Address& address) {
   return {asio::ip::make_address_v4(address.ip()), address.port()};
@@ -179,31 +180,42 @@
     }
   }
 
-  bool IsRefused(const tcp::socket& caller) const {
-    if (m_faults.fault == LinkFault::kRefused) return true;
-    asio::error_code ignored;
-    const std::uint16_t port = caller.remote_endpoint(ignored).port();
-    return std::any_of(m_refused_callers.begin(), m_refused_callers.end(),
-                       [&](const auto& refused) {
-                         return LocalTcpPorts(refused.second, m_listen).count(port) > 0;
-                       });
-  }
-
   void Accept(const std::shared_ptr<tcp::acceptor>& acceptor) {
     acceptor->async_accept([this, acceptor](asio::error_code failed, tcp::socket caller) {
       if (!acceptor->is_open()) return Reset(caller);
-      if (!failed && IsRefused(caller)) {
-        Reset(caller);
-      } else if (!failed) {
-        const auto proxied_connection =
-            std::make_shared<ProxiedConnection>(std::move(caller), m_context, m_faults);
-        m_proxied_connections.insert(proxied_connection);
-        proxied_connection->Start(m_target);
-      }
+      if (!failed) OnAccepted(std::move(caller));
       Accept(acceptor);
     });
   }
 
+  void OnAccepted(tcp::socket caller) {
+    if (m_faults.fault == LinkFault::kRefused) return Reset(caller);
+    const auto proxied_connection =
+        std::make_shared<ProxiedConnection>(std::move(caller), m_context, m_faults);
+    m_proxied_connections.insert(proxied_connection);
+    if (m_refused_callers.empty()) return proxied_connection->Start(m_target);
+    m_undecided.push_back(proxied_connection);
+    if (m_undecided.size() > 1) return;
+    // decided together, since each look at the sockets of a process takes long
+    m_decision.expires_after(kDecisionPause);
+    m_decision.async_wait([this](asio::error_code) { DecideAccepted(); });
+  }
+
+  void DecideAccepted() {
+    std::set<std::uint16_t> refused_ports;
+    for (const auto& [caller, process] : m_refused_callers) {
+      refused_ports.merge(LocalTcpPorts(process, m_listen));
+    }
+    for (const auto& proxied_connection : m_undecided) {
+      if (refused_ports.count(proxied_connection->caller_port()) > 0) {
+        proxied_connection->End();
+      } else {
+        proxied_connection->Start(m_target);
+      }
+    }
+    m_undecided.clear();
+  }
+
   const Address m_listen;
   const Address m_target;
   Faults m_faults;
@@ -216,6 +228,9 @@
   std::set<std::weak_ptr<ProxiedConnection>, std::owner_less<std::weak_ptr<ProxiedConnection>>>
       m_proxied_connections;
   std::map<std::size_t, pid_t> m_refused_callers;
+  // accepted, but not yet known to come from a process that is not refused
+  std::vector<std::shared_ptr<ProxiedConnection>> m_undecided;
+  asio::steady_timer m_decision{m_context};
   std::thread m_thread;
 };
 
--- a/tests/soak/process_sockets.cc
+++ b/tests/soak/process_sockets.cc
@@ -6,7 +6,10 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <sstream>
 #include <string>
+#include <vector>
 
 namespace sapphireflow::soak {
 namespace {
@@ -40,18 +43,17 @@
   const std::string remote_text = KernelText(remote);
   std::set<std::uint16_t> ports;
   std::ifstream table("/proc/net/tcp");
-  std::string line;
-  std::getline(table, line);  // column names
-  std::string number;
-  std::string local;
-  std::string peer;
-  std::string ignored;
-  std::string inode;
-  while (table >> number >> local >> peer >> ignored >> ignored >> ignored >> ignored >> ignored >>
-         ignored >> inode) {
-    std::getline(table, line);
-    if (peer != remote_text || sockets.count("socket:[" + inode + "]") == 0) continue;
-    const std::string port = local.substr(local.find(':') + 1);
+  for (std::string line; std::getline(table, line);) {
+    if (line.find(remote_text) == std::string::npos) continue;
+    // columns: number, local address, remote address, six others, inode
+    std::istringstream columns(line);
+    std::vector<std::string> row{std::istream_iterator<std::string>(columns), {}};
+    constexpr std::size_t kLocal = 1;
+    constexpr std::size_t kRemote = 2;
+    constexpr std::size_t kInode = 9;
+    if (row.size() <= kInode || row[kRemote] != remote_text) continue;
+    if (sockets.count("socket:[" + row[kInode] + "]") == 0) continue;
+    const std::string port = row[kLocal].substr(row[kLocal].find(':') + 1);
     ports.insert(static_cast<std::uint16_t>(std::stoul(port, nullptr, kHex)));
   }
   return ports;
