--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -4,8 +4,12 @@
 #include <array>
 #include <asio.hpp>
 #include <atomic>
+#include <map>
 #include <set>
 #include <thread>
+#include <vector>
+
+#include "process_sockets.h"
 
 namespace sapphireflow::soak {
 namespace {
@@ -13,6 +17,7 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kChunkBytes = 16384;
+constexpr Duration kDecisionPause = std::chrono::milliseconds(10);
 
 tcp::endpoint Endpoint(const Address& address) {
   return {asio::ip::make_address_v4(address.ip()), address.port()};
@@ -34,7 +39,12 @@
 class ProxiedConnection : public std::enable_shared_from_this<ProxiedConnection> {
  public:
   ProxiedConnection(tcp::socket caller, asio::io_context& context, const Faults& faults)
-      : m_caller(std::move(caller)), m_callee(context), m_context(context), m_faults(faults) {}
+      : m_caller(std::move(caller)), m_callee(context), m_context(context), m_faults(faults) {
+    asio::error_code ignored;
+    m_caller_port = m_caller.remote_endpoint(ignored).port();
+  }
+
+  std::uint16_t caller_port() const { return m_caller_port; }
 
   void Start(const Address& target) {
     m_callee.async_connect(Endpoint(target), [self = shared_from_this()](asio::error_code failed) {
@@ -95,6 +105,7 @@
   tcp::socket m_callee;
   asio::io_context& m_context;
   const Faults& m_faults;
+  std::uint16_t m_caller_port = 0;
   bool m_bytes_dropped = false;
   Buffer m_to_callee{};
   Buffer m_to_caller{};
@@ -104,9 +115,8 @@
 
 class FaultProxy::Impl {
  public:
-  Impl(const Address& listen, const Address& target)
-      : m_target(target), m_acceptor(m_context, Endpoint(listen)) {
-    Accept();
+  Impl(const Address& listen, const Address& target) : m_listen(listen), m_target(target) {
+    Listen(true);
     m_thread = std::thread([this] { m_context.run(); });
   }
 
@@ -120,7 +130,8 @@
   void SetFault(LinkFault fault, Duration delay) {
     m_faults.delay = delay.count();
     m_faults.fault = fault;
-    if (fault == LinkFault::kRefused) ResetAll();
+    if (fault == LinkFault::kRefused || fault == LinkFault::kNotListening) ResetAll();
+    asio::post(m_context, [this, fault] { Listen(fault != LinkFault::kNotListening); });
   }
 
   void ResetAll() {
@@ -140,28 +151,86 @@
     });
   }
 
+  void RefuseFrom(std::size_t caller, pid_t process) {
+    asio::post(m_context, [this, caller, process] {
+      m_refused_callers[caller] = process;
+      const std::set<std::uint16_t> ports = LocalTcpPorts(process, m_listen);
+      for (const auto& weak : m_proxied_connections) {
+        const auto proxied_connection = weak.lock();
+        if (proxied_connection && ports.count(proxied_connection->caller_port()) > 0) {
+          proxied_connection->End();
+        }
+      }
+    });
+  }
+
+  void AcceptFrom(std::size_t caller) {
+    asio::post(m_context, [this, caller] { m_refused_callers.erase(caller); });
+  }
+
  private:
-  void Accept() {
-    m_acceptor.async_accept([this](asio::error_code failed, tcp::socket caller) {
-      if (!failed && m_faults.fault == LinkFault::kRefused) {
-        Reset(caller);
-      } else if (!failed) {
-        const auto proxied_connection =
-            std::make_shared<ProxiedConnection>(std::move(caller), m_context, m_faults);
-        m_proxied_connections.insert(proxied_connection);
+  void Listen(bool listen) {
+    if (listen == (m_acceptor != nullptr)) return;
+    if (listen) {
+      m_acceptor = std::make_shared<tcp::acceptor>(m_context, Endpoint(m_listen));
+      Accept(m_acceptor);
+    } else {
+      m_acceptor->close();
+      m_acceptor.reset();
+    }
+  }
+
+  void Accept(const std::shared_ptr<tcp::acceptor>& acceptor) {
+    acceptor->async_accept([this, acceptor](asio::error_code failed, tcp::socket caller) {
+      if (!acceptor->is_open()) return Reset(caller);
+      if (!failed) OnAccepted(std::move(caller));
+      Accept(acceptor);
+    });
+  }
+
+  void OnAccepted(tcp::socket caller) {
+    if (m_faults.fault == LinkFault::kRefused) return Reset(caller);
+    const auto proxied_connection =
+        std::make_shared<ProxiedConnection>(std::move(caller), m_context, m_faults);
+    m_proxied_connections.insert(proxied_connection);
+    if (m_refused_callers.empty()) return proxied_connection->Start(m_target);
+    m_undecided.push_back(proxied_connection);
+    if (m_undecided.size() > 1) return;
+    // decided together, since each look at the sockets of a process takes long
+    m_decision.expires_after(kDecisionPause);
+    m_decision.async_wait([this](asio::error_code) { DecideAccepted(); });
+  }
+
+  void DecideAccepted() {
+    std::set<std::uint16_t> refused_ports;
+    for (const auto& [caller, process] : m_refused_callers) {
+      refused_ports.merge(LocalTcpPorts(process, m_listen));
+    }
+    for (const auto& proxied_connection : m_undecided) {
+      if (refused_ports.count(proxied_connection->caller_port()) > 0) {
+        proxied_connection->End();
+      } else {
         proxied_connection->Start(m_target);
       }
-      Accept();
-    });
+    }
+    m_undecided.clear();
   }
 
+  const Address m_listen;
   const Address m_target;
   Faults m_faults;
   asio::io_context m_context;
-  tcp::acceptor m_acceptor;
-  // accessed by the proxy's thread only
+  // the thread goes on while the proxy does not listen
+  const asio::executor_work_guard<asio::io_context::executor_type> m_work{m_context.get_executor()};
+  // accessed by the proxy's thread only, once it runs
+  // null while the proxy does not listen
+  std::shared_ptr<tcp::acceptor> m_acceptor;
   std::set<std::weak_ptr<ProxiedConnection>, std::owner_less<std::weak_ptr<ProxiedConnection>>>
       m_proxied_connections;
+  std::map<std::size_t, pid_t> m_refused_callers;
+  // accepted, but not yet known to come from a process that is not refused
+  std::vector<std::shared_ptr<ProxiedConnection>> m_undecided;
+  asio::steady_timer m_decision{m_context};
   std::thread m_thread;
 };
 
@@ -171,5 +240,9 @@
 void FaultProxy::SetFault(LinkFault fault, Duration delay) { m_impl->SetFault(fault, delay); }
 void FaultProxy::ResetAll() { m_impl->ResetAll(); }
 void FaultProxy::SilenceAll() { m_impl->SilenceAll(); }
+void FaultProxy::RefuseFrom(std::size_t caller, pid_t process) {
+  m_impl->RefuseFrom(caller, process);
+}
+void FaultProxy::AcceptFrom(std::size_t caller) { m_impl->AcceptFrom(caller); }
 
 }  // namespace sapphireflow::soak
