--- a/tests/unit/unit-concurrent_runs.cpp
+++ b/tests/unit/unit-concurrent_runs.cpp
@@ -198,8 +198,7 @@
 }
 
 // An owner extended the lease of a run whose coordinator could not cancel it.
-TEST_CASE("no task runs twice when its caller returns while links break again and again",
-          "[.flapping]") {
+TEST_CASE("no task runs twice when its caller returns while links break again and again") {
   RunEach({5, 7, 12, 41, 43, 47, 48}, 3, FlappingLinks(/*callers=*/true));
   RunEach({7}, 4, SevenMembers(FlappingLinks(/*callers=*/true)));
 }
