--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -292,17 +292,25 @@
 /// @brief Owner to coordinator: reports on runs, with the free capacity of the workers concerned.
 class RunReports : public Comparable<RunReports> {
  public:
-  RunReports(const NodeId& owner, std::vector<RunReport> reports, CapacityUpdate free_capacity)
-      : m_owner(owner), m_reports(std::move(reports)), m_free_capacity(std::move(free_capacity)) {}
+  RunReports(const NodeId& owner, std::vector<RunReport> reports, CapacityUpdate free_capacity,
+             const std::optional<NodeId>& coordinator = std::nullopt)
+      : m_owner(owner),
+        m_reports(std::move(reports)),
+        m_free_capacity(std::move(free_capacity)),
+        m_coordinator(coordinator) {}
   const NodeId& owner() const { return m_owner; }
   const std::vector<RunReport>& reports() const { return m_reports; }
   const CapacityUpdate& free_capacity() const { return m_free_capacity; }
-  auto Fields() const { return std::tie(m_owner, m_reports, m_free_capacity); }
+  /// @brief The process that ordered or claimed the runs: its successor at the same address numbers
+  /// its runs from 1 again. Empty from an owner of an earlier version.
+  const std::optional<NodeId>& coordinator() const { return m_coordinator; }
+  auto Fields() const { return std::tie(m_owner, m_reports, m_free_capacity, m_coordinator); }
 
  private:
   NodeId m_owner;
   std::vector<RunReport> m_reports;
   CapacityUpdate m_free_capacity;
+  std::optional<NodeId> m_coordinator;
 };
 
 /// @brief Heartbeat from one member to another.
@@ -311,7 +319,8 @@
   MemberHeartbeat(MemberListing from, bool draining, std::uint64_t sequence, std::uint64_t echo,
                   std::uint64_t link_losses, std::uint64_t configuration_version,
                   std::uint64_t token_floor, bool parting = false,
-                  const std::optional<WorkerListOffer>& worker_list = std::nullopt)
+                  const std::optional<WorkerListOffer>& worker_list = std::nullopt,
+                  std::vector<RunKey> doubted_runs = {})
       : m_from(std::move(from)),
         m_draining(draining),
         m_sequence(sequence),
@@ -320,7 +329,8 @@
         m_configuration_version(configuration_version),
         m_token_floor(token_floor),
         m_parting(parting),
-        m_worker_list(worker_list) {}
+        m_worker_list(worker_list),
+        m_doubted_runs(std::move(doubted_runs)) {}
   const MemberListing& from() const { return m_from; }
   bool draining() const { return m_draining; }
   std::uint64_t sequence() const { return m_sequence; }
@@ -337,9 +347,12 @@
   bool parting() const { return m_parting; }
   /// @brief The list of workers that the sender offers; empty if it has not read one lately.
   const std::optional<WorkerListOffer>& worker_list() const { return m_worker_list; }
+  /// @brief Runs that the sender coordinates and may give up: their owners must not extend their
+  /// leases on the strength of this heartbeat.
+  const std::vector<RunKey>& doubted_runs() const { return m_doubted_runs; }
   auto Fields() const {
     return std::tie(m_from, m_draining, m_sequence, m_echo, m_link_losses, m_configuration_version,
-                    m_token_floor, m_parting, m_worker_list);
+                    m_token_floor, m_parting, m_worker_list, m_doubted_runs);
   }
 
  private:
@@ -352,6 +365,7 @@
   std::uint64_t m_token_floor;
   bool m_parting;
   std::optional<WorkerListOffer> m_worker_list;
+  std::vector<RunKey> m_doubted_runs;
 };
 
 /// @brief Owner to the members of its zone and to the relays of other zones: the free capacity of
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -9,9 +9,11 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "sapphireflow/dispatch/capacity_view.h"
+#include "sapphireflow/observe/repeat_filter.h"
 #include "sapphireflow/ownership/coordinator_liveness.h"
 #include "sapphireflow/ownership/detail/worker_session.h"
 #include "sapphireflow/ownership/owner_event.h"
@@ -64,6 +66,9 @@
   std::vector<CapacityDigest> Digests() const;
 
  private:
+  // coordinators repeat an adoption until it is answered, and after each loss of a link
+  static constexpr Duration kAdoptionLogInterval = std::chrono::seconds(5);
+
   using Session = detail::WorkerSession;
   using Delta = detail::SessionDelta;
   struct OwnedWorker {
@@ -88,16 +93,21 @@
   void On(const RenewalReplied& event, Instant now, OwnerEffects& out);
   void On(const OwnerTick& event, Instant now, OwnerEffects& out);
 
+  // logs an adoption unless it repeats an earlier one with the same result
+  void LogAdoption(const AdoptRun& adoption, detail::AdoptedState state, Instant now,
+                   OwnerEffects& out);
   void ApplyDelta(OwnedWorker& owned, const Delta& delta, Instant now, OwnerEffects& out);
   // another owner may have extended the leases of all workers until now
   void OnPossibleTakeover(Instant now);
   // declines new runs that do not fit here if another owner advertises enough free capacity
   void RedirectNewRuns();
   void DeclineOverdue(Instant now);
-  // Stops the runs of coordinators without a recent sign of life. Those whose processes have ended
-  // have callers who are about to submit their jobs again.
+  // Stops the runs that their coordinators have not confirmed lately. They, or callers whose
+  // coordinators have ended, are about to start them again.
   void StopOrphans(OwnedWorker& owned, Instant now, OwnerEffects& out);
-  // whether the run would have to be stopped at once for want of a sign of life
+  // whether a worker still has another run of the task; stops it if the coordinator replaced it
+  bool HasOtherRun(const WaitingRun& waiting);
+  // whether the run would have to be stopped at once, because its coordinator may have given it up
   bool IsOrphaned(const WaitingRun& waiting, Instant now) const;
   void StartWaiting(Instant now, OwnerEffects& out);
   bool TryStart(const WaitingRun& waiting, const std::set<WorkerId>& reserved, Instant now,
@@ -154,6 +164,9 @@
   std::map<RunKey, Instant> m_cancelled;
   // unsent reports by coordinator; between events these are only reports of starts
   std::map<NodeId, std::vector<RunReport>> m_reports;
+  // adoptions that were logged
+  using LoggedAdoption = std::tuple<RunKey, NodeId, detail::AdoptedState>;
+  RepeatFilter<LoggedAdoption> m_logged_adoptions{kAdoptionLogInterval};
   // time of the current or last event
   Instant m_now{};
   // when a reply of any worker was last lost
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -13,6 +13,8 @@
 // answers are kept this long for duplicate submissions that arrive late
 constexpr Duration kFinishedRetention = std::chrono::seconds(10);
 constexpr std::size_t kMaxFinished = 5000;
+// longer than an owner that was paused keeps a record of a run whose lease has ended
+constexpr Duration kLapsedRetention = std::chrono::seconds(2);
 // after more consecutive declines than this a task waits for the next tick to be placed again
 constexpr std::uint32_t kMaxPromptRetries = 3;
 // number of runs of one task, ended for any reason, after which the job is abandoned
@@ -129,6 +131,24 @@
   return owners;
 }
 
+std::vector<RunKey> JobShard::DoubtedRuns() const {
+  std::vector<RunKey> runs;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [run, lapsed_at] : m_lapsed) runs.push_back(run);
+  for (const auto& [key, job] : m_jobs) {
+    for (std::uint32_t s = 0; s < job.tasks.size(); ++s) {
+      for (std::uint32_t i = 0; i < job.tasks[s].size(); ++i) {
+        const Task& task = job.tasks[s][i];
+        // the caller of a closing job may have submitted it to another entry VM
+        const bool is_unwanted = task.phase == TaskPhase::kPlaced && job.closing;
+        if (!is_unwanted && task.phase != TaskPhase::kOrphaned) continue;
+        runs.emplace_back(TaskKey(key, 0, s, i), task.run_number);
+      }
+    }
+  }
+  return runs;
+}
+
 void JobShard::Answer(RequestToken token, JobVerdict verdict, JobEffects& out) const {
   out.emplace_back(AnswerCaller(token, verdict, std::nullopt, Duration::zero(), 0));
 }
@@ -338,8 +358,9 @@
   switch (report.transition()) {
     case RunTransition::kStarted:
       job.may_have_run = true;
-      task->phase = TaskPhase::kPlaced;
       task->worker = report.worker();
+      if (task->phase == TaskPhase::kOrphaned) LogRecovered(key, *task, now, out);
+      task->phase = TaskPhase::kPlaced;
       task->incarnation = m_capacity_view.IncarnationOf(report.worker());
       task->declines = 0;
       if (job.closing) {
@@ -350,8 +371,7 @@
       return;
     case RunTransition::kReleased:
       task->worker = report.worker();
-      if (task->phase != TaskPhase::kOrphaned) task->orphaned_at = now;
-      task->phase = TaskPhase::kOrphaned;
+      if (task->phase != TaskPhase::kOrphaned) Orphan(key, *task, "released", now, out);
       task->next_request_at = now;
       job.may_have_run = true;
       return;
@@ -359,11 +379,7 @@
       if (report.worker().empty() && !task->worker.empty()) {
         // The owner has no record of the run. Only the worker itself can show that a run that was
         // started there has ended: it may have had another owner since.
-        if (task->phase != TaskPhase::kOrphaned) {
-          task->phase = TaskPhase::kOrphaned;
-          task->orphaned_at = now;
-          task->next_request_at = now;
-        }
+        if (task->phase != TaskPhase::kOrphaned) Orphan(key, *task, "not_here", now, out);
         return;
       }
       // The owner does not know the requests of the one from which the worker has come.
@@ -493,6 +509,9 @@
     item = now - item->second.at > kFinishedRetention ? m_highest_run_numbers.erase(item)
                                                       : std::next(item);
   }
+  for (auto item = m_lapsed.begin(); item != m_lapsed.end();) {
+    item = now - item->second > kLapsedRetention ? m_lapsed.erase(item) : std::next(item);
+  }
   while (!m_finished_order.empty() && (now - m_finished_order.front().first > kFinishedRetention ||
                                        m_finished_order.size() > kMaxFinished)) {
     m_finished.erase(m_finished_order.front().second);
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "sapphireflow/dispatch/detail/job_key_text.h"
+#include "sapphireflow/dispatch/detail/log_fields.h"
 #include "sapphireflow/ownership/order_limits.h"
 
 namespace sapphireflow {
@@ -42,8 +43,20 @@
 // Capacity is counted in resources, not in slots.
 constexpr std::uint32_t kUnlimitedSlots = 1000;
 
-std::string MillisText(Duration length) {
-  return std::to_string(static_cast<std::int64_t>(ToMillis(length)));
+using detail::MillisText;
+
+const char* AdoptedStateName(detail::AdoptedState state) {
+  switch (state) {
+    case detail::AdoptedState::kKnown:
+      return "yes";
+    case detail::AdoptedState::kUnknown:
+      return "no";
+    case detail::AdoptedState::kEnded:
+      return "ended";
+    case detail::AdoptedState::kNotOwner:
+      return "not_owner";
+  }
+  return "?";
 }
 
 }  // namespace
@@ -146,15 +159,20 @@
 }
 
 void OwnerShard::On(const PlaceRuns& event, Instant now, OwnerEffects& out) {
+  const Instant wanted_at =
+      m_liveness.EchoedAt(event.coordinator(), event.echo()).value_or(Instant{});
   for (const RunOrder& order : event.runs()) {
     if (m_cancelled.count(order.run()) > 0) {
+      LogEvent::Pairs pairs = detail::RunFields(order.run());
+      pairs.emplace_back("coordinator", event.coordinator().text());
+      out.emplace_back(LogEvent(LogLevel::kWarning, "order_after_cancel", std::move(pairs)));
       m_reports[event.coordinator()].emplace_back(order.run(), RunTransition::kDeclined,
                                                   RunEnd::kAbsent, "", "cancelled_before");
       continue;
     }
     m_waiting.emplace_back(order, event.coordinator(), event.service(), event.queue(),
                            event.payload(), event.priority(), now, now + event.time_to_objective(),
-                           now + event.time_to_deadline());
+                           now + event.time_to_deadline(), wanted_at);
   }
   StartWaiting(now, out);
   RedirectNewRuns();
@@ -187,8 +205,23 @@
   }
 }
 
+void OwnerShard::LogAdoption(const AdoptRun& adoption, detail::AdoptedState state, Instant now,
+                             OwnerEffects& out) {
+  if (!m_logged_adoptions.IsNew({adoption.run(), adoption.coordinator(), state}, now)) return;
+  LogEvent::Pairs pairs = {{"worker", adoption.worker()}};
+  const LogEvent::Pairs run = detail::RunFields(adoption.run());
+  pairs.insert(pairs.end(), run.begin(), run.end());
+  pairs.emplace_back("coordinator", adoption.coordinator().text());
+  pairs.emplace_back("known", AdoptedStateName(state));
+  out.emplace_back(LogEvent(LogLevel::kInfo, "run_adopted", std::move(pairs)));
+}
+
 void OwnerShard::On(const AdoptRun& event, Instant now, OwnerEffects& out) {
   const auto found = m_workers.find(event.worker());
+  LogAdoption(event,
+              found == m_workers.end() ? detail::AdoptedState::kNotOwner
+                                       : found->second.session.StateOf(event.run()),
+              now, out);
   if (found == m_workers.end()) {
     m_reports[event.coordinator()].emplace_back(event.run(), RunTransition::kReleased,
                                                 RunEnd::kAbsent, event.worker(), "not_owner");
@@ -280,15 +313,17 @@
 }
 
 void OwnerShard::StopOrphans(OwnedWorker& owned, Instant now, OwnerEffects& out) {
-  for (const auto& [run, coordinator] : owned.session.CancelOrphans(now)) {
+  for (const detail::OrphanedRun& orphan : owned.session.CancelOrphans(now)) {
+    const RunKey& run = orphan.run();
     out.emplace_back(
         LogEvent(LogLevel::kWarning, "orphan_stopped",
                  {{"worker", owned.session.listing().id()},
                   {"job", detail::JobKeyText(run.task().job())},
                   {"task", std::to_string(run.task().index())},
                   {"run", std::to_string(run.number())},
-                  {"coordinator", coordinator.text()},
-                  {"silent_ms", MillisText(now - m_liveness.AliveAt(coordinator, now))}}));
+                  {"coordinator", orphan.coordinator().text()},
+                  {"silent_ms", MillisText(now - m_liveness.AliveAt(orphan.coordinator(), now))},
+                  {"unconfirmed_ms", MillisText(now - orphan.wanted_at())}}));
   }
 }
 
@@ -454,12 +489,29 @@
 }
 
 bool OwnerShard::IsOrphaned(const WaitingRun& waiting, Instant now) const {
-  return now - m_liveness.AliveAt(waiting.coordinator(), now) >= m_limits.orphan_stop_after();
+  const Instant wanted_at = std::max(
+      waiting.wanted_at(), m_liveness.WantedAt(waiting.coordinator(), waiting.order().run(), now));
+  return now - wanted_at >= m_limits.orphan_stop_after();
+}
+
+bool OwnerShard::HasOtherRun(const WaitingRun& waiting) {
+  const RunKey& run = waiting.order().run();
+  bool found = false;
+  for (auto& [id, owned] : m_workers) {
+    const auto other = owned.session.RunOf(run.task());
+    if (!other) continue;
+    found = true;
+    // the coordinator has replaced it, or a resubmission of the job has
+    const bool is_replaced =
+        other->coordinator() == waiting.coordinator() && other->run().number() < run.number();
+    if (is_replaced) owned.session.Cancel(other->run(), waiting.coordinator());
+  }
+  return found;
 }
 
 bool OwnerShard::TryStart(const WaitingRun& waiting, const std::set<WorkerId>& reserved,
                           Instant now, OwnerEffects& out) {
-  if (IsOrphaned(waiting, now)) return false;
+  if (IsOrphaned(waiting, now) || HasOtherRun(waiting)) return false;
   const WorkerFilter confinement = m_crashes.ConfinementOf(waiting.queue(), now);
   const WorkerFilter exposed = m_crashes.ExposedWorkers(now);
   const auto start_on_one = [&](bool may_be_exposed) {
--- a/src/routing/dispatch_node_peers.cc
+++ b/src/routing/dispatch_node_peers.cc
@@ -1,6 +1,7 @@
 // Part of routing: messages from other members and membership changes.
 #include <utility>
 
+#include "sapphireflow/dispatch/detail/log_fields.h"
 #include "sapphireflow/routing/dispatch_node.h"
 
 namespace sapphireflow {
@@ -36,7 +37,8 @@
                                  {"echo", std::to_string(message.echo())}}));
   ctx.out.emplace_back(
       SendMessage(message.coordinator().address(),
-                  RunReports(m_self, std::move(reports), CapacityUpdate(Digests(), true))));
+                  RunReports(m_self, std::move(reports), CapacityUpdate(Digests(), true),
+                             message.coordinator())));
 }
 
 void DispatchNode::Receive(const CancelRuns& message, EventContext& ctx) {
@@ -50,10 +52,25 @@
 void DispatchNode::Receive(const AdoptRun& message, EventContext& ctx) {
   m_members.OnEcho(message.coordinator(), message.echo());
   // the coordinator repeats the request while it still wants the run
-  if (!m_members.IsFresh(message.coordinator(), message.echo(), ctx.now)) return;
+  if (!m_members.IsFresh(message.coordinator(), message.echo(), ctx.now)) {
+    LogOutdated(message, ctx);
+    return;
+  }
   ctx.work.emplace_back(OwnerWork{OwnerShardOf(message.service()), message});
 }
 
+void DispatchNode::LogOutdated(const AdoptRun& adoption, EventContext& ctx) {
+  {
+    std::lock_guard<std::mutex> lock(m_outdated_mutex);
+    if (!m_logged_outdated.IsNew({adoption.run(), adoption.coordinator()}, ctx.now)) return;
+  }
+  LogEvent::Pairs pairs = {{"coordinator", adoption.coordinator().text()}};
+  const LogEvent::Pairs run = detail::RunFields(adoption.run());
+  pairs.insert(pairs.end(), run.begin(), run.end());
+  pairs.emplace_back("echo", std::to_string(adoption.echo()));
+  ctx.out.emplace_back(LogEvent(LogLevel::kWarning, "adoption_outdated", std::move(pairs)));
+}
+
 void DispatchNode::Receive(const RunReports& message, EventContext& ctx) {
   for (const CapacityDigest& digest : message.free_capacity().digests()) {
     if (message.free_capacity().complete()) {
@@ -62,6 +79,13 @@
       m_capacity.MergeDigest(message.owner(), digest);
     }
   }
+  if (message.coordinator() && *message.coordinator() != m_self) {
+    ctx.out.emplace_back(LogEvent(LogLevel::kInfo, "reports_for_former_process",
+                                  {{"owner", message.owner().text()},
+                                   {"runs", std::to_string(message.reports().size())},
+                                   {"coordinator", message.coordinator()->text()}}));
+    return;
+  }
   QueueReports(message, ctx);
 }
 
@@ -173,6 +197,10 @@
   HandleEvent(message, ctx);
 }
 
+void DispatchNode::LogLinkLosses(EventContext& ctx) {
+  for (LogEvent& line : m_link_losses.DueLines(ctx.now)) ctx.out.emplace_back(std::move(line));
+}
+
 void DispatchNode::HandleMemberChanges(const MemberChanges& changes, EventContext& ctx) {
   if (changes.empty()) return;
   for (const MemberChange& change : changes) {
@@ -192,10 +220,11 @@
         m_capacity.Forget(change.node());
         break;
       case MemberChange::Kind::kLinkLost:
-        name = "member_link_lost";
         QueueForAllJobShards(OwnerLinkLost(change.node()), ctx);
         SendLossesTo(change.node(), ctx.now - kLostWithLink, ctx);
-        break;
+        m_link_losses.Record(change.node(), change.why(), ctx.now);
+        LogLinkLosses(ctx);
+        continue;
     }
     ctx.out.emplace_back(LogEvent(
         change.kind() == MemberChange::Kind::kJoined ? LogLevel::kInfo : LogLevel::kWarning, name,
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -51,10 +51,23 @@
     const auto found = last_alive.find(coordinator);
     return found == last_alive.end() ? now : found->second;
   }
-  Instant AllAliveAt(Instant /*now*/) const override { return all_alive_at; }
+  Instant WantedAt(const NodeId& coordinator, const RunKey& run, Instant now) const override {
+    return doubted.count(run) > 0 ? Instant{} : AliveAt(coordinator, now);
+  }
+  Instant WantedByAllAt(const RunKey& run, Instant /*now*/) const override {
+    return doubted.count(run) > 0 ? Instant{} : all_alive_at;
+  }
+  std::optional<Instant> EchoedAt(const NodeId& /*member*/, std::uint64_t echo) const override {
+    const auto found = sent.find(echo);
+    return found == sent.end() ? std::nullopt : std::make_optional(found->second);
+  }
 
   std::map<NodeId, Instant> last_alive;
   Instant all_alive_at{};
+  // runs that their coordinators may give up
+  std::set<RunKey> doubted;
+  // send times of heartbeats
+  std::map<std::uint64_t, Instant> sent;
 };
 
 // An owner shard with a manual clock; records its effects by kind.
@@ -78,6 +91,7 @@
         crashes.Record(*loss, now);
         losses.push_back(*loss);
       }
+      if (auto* line = std::get_if<LogEvent>(&effect)) lines.push_back(*line);
       if (auto* reports_effect = std::get_if<SendRunReports>(&effect)) {
         for (const RunReport& report : reports_effect->reports()) {
           reports.push_back(report);
@@ -165,6 +179,15 @@
     return std::nullopt;
   }
 
+  // the log lines of an event so far
+  std::vector<std::string> Lines(const std::string& event) const {
+    std::vector<std::string> found;
+    for (const LogEvent& line : lines) {
+      if (line.name() == event) found.push_back(line.Line());
+    }
+    return found;
+  }
+
   Instant now = FromUnixMillis(1700000000000);
   std::vector<StartRun> starts;
   std::vector<StopRun> stops;
@@ -172,6 +195,7 @@
   std::vector<RunReport> reports;
   std::vector<NodeId> report_recipients;
   std::vector<WorkerLoss> losses;
+  std::vector<LogEvent> lines;
   CrashLedger crashes;
   ScriptedLiveness liveness;
 
@@ -184,6 +208,69 @@
 
 }  // namespace
 
+TEST_CASE("the log tells of the first adoption of a run, and what the owner knew of it") {
+  const std::string run = "event=run_adopted worker=w1 job=0000000000000007 step=0 task=0 run=1 ";
+  const std::string by = "coordinator=" + kCoordinator.text();
+  OwnerHarness owner;
+  const auto repeat = [&owner] {
+    for (int i = 0; i < 5; ++i) {
+      owner.now += Millis(100);
+      owner.Feed(owner.Adoption(0));
+    }
+  };
+  SECTION("a worker of another owner") {
+    repeat();
+    CHECK(owner.Lines("run_adopted") == std::vector<std::string>{run + by + " known=not_owner"});
+  }
+  owner.AcquireWorkers({Listing("w1", 10)});
+  SECTION("a run that the worker has not reported") {
+    owner.Feed(owner.Adoption(0));
+    CHECK(owner.Lines("run_adopted") == std::vector<std::string>{run + by + " known=no"});
+  }
+  SECTION("a run that it started, claimed again and again") {
+    owner.Place({0});
+    owner.AnswerStart(owner.starts.at(0), CallOutcome::kOk);
+    repeat();
+    repeat();
+    CHECK(owner.Lines("run_adopted") == std::vector<std::string>{run + by + " known=yes"});
+    SECTION("by another coordinator") {
+      const AdoptRun own = owner.Adoption(0);
+      owner.Feed(AdoptRun(kOtherCoordinator, own.service(), own.worker(), own.run(), own.needs(),
+                          own.estimate()));
+      REQUIRE(owner.Lines("run_adopted").size() == 2);
+      CHECK(owner.Lines("run_adopted")[1] ==
+            run + "coordinator=" + kOtherCoordinator.text() + " known=yes");
+    }
+    SECTION("after a while") {
+      owner.now += Millis(5000);
+      owner.Feed(owner.Adoption(0));
+      CHECK(owner.Lines("run_adopted").size() == 2);
+    }
+  }
+}
+
+TEST_CASE("the log tells of a run whose end the worker reported before its adoption") {
+  OwnerHarness owner;
+  owner.Feed(WorkerAssignment({Listing("w1", 10)}, {}));
+  owner.AnswerRenewal({}, {EndedRun(1, Run(0), RunEnd::kDone)});
+  owner.Feed(owner.Adoption(0));
+  REQUIRE(owner.Lines("run_adopted").size() == 1);
+  CHECK(owner.Lines("run_adopted")[0].find("known=ended") != std::string::npos);
+}
+
+TEST_CASE("the log tells of an order that arrives after its cancel") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.Feed(CancelRuns(kCoordinator, kService, {Run(0)}));
+  CHECK(owner.Lines("order_after_cancel").empty());
+  owner.Place({0});
+  CHECK(owner.starts.empty());
+  CHECK(owner.Lines("order_after_cancel") ==
+        std::vector<std::string>{"event=order_after_cancel job=0000000000000007 step=0 task=0 "
+                                 "run=1 coordinator=" +
+                                 kCoordinator.text()});
+}
+
 TEST_CASE("a worker is never overcommitted, even while starts are unanswered") {
   OwnerHarness owner;
   owner.AcquireWorkers({Listing("w1", 10)});
@@ -324,6 +411,87 @@
   CHECK(owner.starts.size() == 2);
 }
 
+// A coordinator placed runs again while their owner extended the lease by its heartbeats.
+TEST_CASE("a run that its coordinator may have given up is stopped in time") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.PlaceOrders({LongRun(0), LongRun(1)}, kCoordinator);
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.AnswerStart(owner.starts[1], CallOutcome::kOk);
+  owner.liveness.doubted = {Run(1)};
+  owner.now += Millis(600);
+  owner.Feed(OwnerTick());
+  CHECK(owner.stops.empty());
+  owner.AnswerRenewal({Run(0), Run(1)}, {});
+  const std::int64_t lease_ms = owner.renewals.back().call().lease_until_ms() - kWorkerClockMs;
+  CHECK(lease_ms > 0);
+  CHECK(lease_ms < 700);
+  const AdoptRun claim(kCoordinator, kService, "w1", Run(1), kTaskNeeds, Millis(2000), 0, false,
+                       false, 5);
+  SECTION("unless it is claimed meanwhile") {
+    owner.liveness.sent[5] = owner.now;
+    owner.Feed(claim);
+    owner.now += Millis(550);
+    owner.Feed(OwnerTick());
+    CHECK(owner.stops.empty());
+  }
+  SECTION("also if a claim arrives that is older than the doubt") {
+    owner.liveness.sent[5] = owner.now - Millis(700);
+    owner.Feed(claim);
+    owner.now += Millis(550);
+    owner.Feed(OwnerTick());
+    REQUIRE(owner.stops.size() == 1);
+    CHECK(owner.stops[0].run() == Run(1));
+  }
+}
+
+TEST_CASE("an order that its coordinator may have given up does not start") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.liveness.doubted = {Run(0)};
+  owner.PlaceOrders({LongRun(0), LongRun(1)}, kCoordinator);
+  REQUIRE(owner.starts.size() == 1);
+  CHECK(owner.starts[0].run() == Run(1));
+}
+
+TEST_CASE("the lease of a run that nobody has claimed is not extended if a member doubts it") {
+  OwnerHarness owner;
+  owner.Feed(WorkerAssignment({Listing("w1", 10)}, {}));
+  owner.liveness.all_alive_at = owner.now;
+  owner.liveness.doubted = {Run(1)};
+  owner.AnswerRenewal({Run(0), Run(1)}, {});
+  owner.Feed(owner.Adoption(0));
+  owner.AnswerRenewal({Run(0), Run(1)}, {});
+  for (const RenewLease& renewal : owner.renewals) CHECK(renewal.call().lease_until_ms() == 0);
+}
+
+// An owner started a run of a task while another one went on at a worker of its own.
+TEST_CASE("a run waits for the end of an earlier run of its task") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10), Listing("w2", 11)});
+  owner.PlaceOrders({LongRun(0)}, kCoordinator);
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  const std::string worker = owner.starts[0].call().worker();
+  const RunKey next(Run(0).task(), Run(0).number() + 1);
+  const RunOrder order(next, kTaskNeeds, Millis(2000), "", "", 0, {});
+  SECTION("which is stopped if its coordinator has replaced it") {
+    owner.PlaceOrders({order}, kCoordinator);
+    CHECK(owner.starts.size() == 1);
+    REQUIRE(owner.stops.size() == 1);
+    CHECK(owner.stops[0].run() == Run(0));
+    owner.AnswerRenewal({}, {EndedRun(1, Run(0), RunEnd::kStopped)}, worker);
+    REQUIRE(owner.starts.size() == 2);
+    CHECK(owner.starts[1].run() == next);
+  }
+  SECTION("which goes on if it belongs to another coordinator") {
+    owner.PlaceOrders({order}, kOtherCoordinator);
+    CHECK(owner.starts.size() == 1);
+    CHECK(owner.stops.empty());
+    owner.AnswerRenewal({}, {EndedRun(1, Run(0), RunEnd::kDone)}, worker);
+    CHECK(owner.starts.size() == 2);
+  }
+}
+
 // A claim that arrives while a renewal waits at the worker must not find the lease lapsed.
 TEST_CASE("renewals wait for a short time only while runs are unclaimed") {
   OwnerHarness owner;
