--- a/tests/soak/link_schedule.cc
+++ b/tests/soak/link_schedule.cc
@@ -109,18 +109,7 @@
   if (RandomBelow(2) == 0) AddConfigurationSeries(RandomTime());
   if (RandomBelow(2) == 0) AddWorkerSeries(RandomWorker(), RandomMillis(0, begin_ms));
   const int others = RandomBelow(3);
-  for (int i = 0; i < others; ++i) {
-    switch (RandomBelow(3)) {
-      case 0:
-        AddStoreFault();
-        break;
-      case 1:
-        AddWorkerFault();
-        break;
-      default:
-        AddLinkFault();
-    }
-  }
+  for (int i = 0; i < others; ++i) AddSingleFault();
 }
 
 }  // namespace sapphireflow::soak
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -216,6 +216,19 @@
       });
 }
 
+void Schedule::AddSingleFault() {
+  switch (RandomBelow(3)) {
+    case 0:
+      AddStoreFault();
+      break;
+    case 1:
+      AddWorkerFault();
+      break;
+    default:
+      AddLinkFault();
+  }
+}
+
 void Schedule::AddConfigurationChanges() {
   const int changes = 1 + RandomBelow(4);
   const Duration at = RandomTime();
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -44,6 +44,8 @@
   void AddStoreFault();
   void AddWorkerFault();
   void AddLinkFault();
+  // one of the store, of a worker or of links
+  void AddSingleFault();
   void AddConfigurationChanges();
   // signals to one node that follow each other closely
   void AddNodeSeries(std::size_t node, Duration at);
--- a/tests/soak/series_schedule.cc
+++ b/tests/soak/series_schedule.cc
@@ -75,18 +75,7 @@
     if (RandomBelow(3) == 0) AddConnectionLoss(RandomTime());
     if (RandomBelow(3) == 0) AddOddEntry(RandomTime());
     const int others = RandomBelow(4);
-    for (int i = 0; i < others; ++i) {
-      switch (RandomBelow(3)) {
-        case 0:
-          AddStoreFault();
-          break;
-        case 1:
-          AddWorkerFault();
-          break;
-        default:
-          AddLinkFault();
-      }
-    }
+    for (int i = 0; i < others; ++i) AddSingleFault();
   }
   SortSteps();
 }
