Count the adoptions of an owner that can't be reached in their test

An owner that is reachable is asked for longer since the bound on leases by confirmed runs; the lapse after 1.7 s that the test counts is that of one that isn't. The expected counts are unchanged.

--- a/tests/unit/unit-job_shard.cpp
+++ b/tests/unit/unit-job_shard.cpp
@@ -404,6 +404,7 @@
   node.Report(0, 0, 1, RunTransition::kStarted);
   node.Report(0, 1, 1, RunTransition::kStarted);
   CHECK(node.counts.empty());
+  node.lookup.is_reachable = false;
   node.Feed(OwnerLinkLost(kOwner));
   node.Report(0, 0, 1, RunTransition::kStarted, RunEnd::kDone, kOwner, "adopted");
   node.Pass(Millis(1700));
