--- a/include/sapphireflow/ownership/lease_limits.h
+++ b/include/sapphireflow/ownership/lease_limits.h
@@ -20,10 +20,10 @@
   Duration max_time_to_expiry() const { return m_max_lease + m_max_lease / 20; }
   /// @brief Shortest time after which a caller whose connection has broken submits its job again.
   Duration caller_return() const { return m_caller_return; }
-  /// @brief Longest lease of a run after the last sign of life of its coordinator. The margin is
+  /// @brief Longest lease of a run after its coordinator last confirmed it. The margin is
   /// that of `max_time_to_expiry`.
   Duration max_orphan_lease() const { return m_caller_return - m_caller_return / 20; }
-  /// @brief A run is stopped this long after the last sign of life of its coordinator, so that the
+  /// @brief A run is stopped this long after its coordinator last confirmed it, so that the
   /// stop is confirmed before `max_orphan_lease` binds the other runs of the worker as well.
   Duration orphan_stop_after() const { return max_orphan_lease() - kStopAllowance; }
   auto Fields() const { return std::tie(m_max_lease, m_caller_return); }
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -105,8 +105,9 @@
   // Stops the runs that their coordinators have not confirmed lately. They, or callers whose
   // coordinators have ended, are about to start them again.
   void StopOrphans(OwnedWorker& owned, Instant now, OwnerEffects& out);
-  // whether a worker still has another run of the task; stops it if the coordinator replaced it
-  bool HasOtherRun(const WaitingRun& waiting);
+  // whether the run must wait for the end of another one of its task, which is stopped if the
+  // coordinator has replaced it
+  bool AwaitsOtherRun(const WaitingRun& waiting);
   // whether the run would have to be stopped at once, because its coordinator may have given it up
   bool IsOrphaned(const WaitingRun& waiting, Instant now) const;
   void StartWaiting(Instant now, OwnerEffects& out);
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -13,7 +13,7 @@
 // answers are kept this long for duplicate submissions that arrive late
 constexpr Duration kFinishedRetention = std::chrono::seconds(10);
 constexpr std::size_t kMaxFinished = 5000;
-// longer than an owner that was paused keeps a record of a run whose lease has ended
+// an owner that was paused may still have a record of a run whose lease has ended
 constexpr Duration kLapsedRetention = std::chrono::seconds(2);
 // after more consecutive declines than this a task waits for the next tick to be placed again
 constexpr std::uint32_t kMaxPromptRetries = 3;
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -497,7 +497,7 @@
   return now - wanted_at >= m_limits.orphan_stop_after();
 }
 
-bool OwnerShard::HasOtherRun(const WaitingRun& waiting) {
+bool OwnerShard::AwaitsOtherRun(const WaitingRun& waiting) {
   const RunKey& run = waiting.order().run();
   bool found = false;
   for (auto& [id, owned] : m_workers) {
@@ -514,7 +514,7 @@
 
 bool OwnerShard::TryStart(const WaitingRun& waiting, const std::set<WorkerId>& reserved,
                           Instant now, OwnerEffects& out) {
-  if (IsOrphaned(waiting, now) || HasOtherRun(waiting)) return false;
+  if (IsOrphaned(waiting, now) || AwaitsOtherRun(waiting)) return false;
   const WorkerFilter confinement = m_crashes.ConfinementOf(waiting.queue(), now);
   const WorkerFilter exposed = m_crashes.ExposedWorkers(now);
   const auto start_on_one = [&](bool may_be_exposed) {
