--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -30,8 +30,8 @@
         m_unconfirmed_lapse(unconfirmed_lapse) {}
   /// @brief After this time the runs of a worker that is silent have ended for its owner.
   Duration worker_lapse() const { return m_worker_lapse; }
-  /// @brief After this time without a claim or a heartbeat that confirms a run it has ended: its
-  /// owner extends the lease for no longer.
+  /// @brief A run that no claim or heartbeat has confirmed for this long has ended: no owner has
+  /// extended its lease beyond that.
   Duration claim_lapse() const { return m_claim_lapse; }
   /// @brief Applies to runs whose start the owner has reported.
   Duration lapse() const { return m_lapse; }
--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -177,13 +177,13 @@
     std::deque<std::pair<std::uint64_t, Instant>> sent;
     // send time of the newest heartbeat that the process has echoed: it was running then
     Instant alive_at{};
-    // send time of the newest heartbeat that one of its heartbeats has echoed: it wanted its runs
-    // then, but for those that the newest one names as doubted, which it wanted at the given times
-    Instant wanted_at{};
-    std::map<RunKey, Instant> doubted_runs;
     // the same of the process that had the address before, and when this one was first heard
     Instant former_alive_at{};
     Instant first_heard_at{};
+    // send time of the newest heartbeat that one of its heartbeats has echoed: it wanted its runs
+    // then, but for those that its newest one names as doubted, which it last wanted at these times
+    Instant wanted_at{};
+    std::map<RunKey, Instant> doubted_runs;
     // newest heartbeat of this VM that the member has acknowledged, and when it did
     std::uint64_t echoed = 0;
     Instant echoed_at{};
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -30,7 +30,7 @@
 constexpr std::size_t kRelayedWorkers = 4;
 // Added to the time until a lease expires: a lost owner is replaced within the maximum silence
 // timeout plus one tick, and its successor may have the run.
-constexpr Duration kSilentOwnerAllowance = std::chrono::milliseconds(1050);
+constexpr Duration kTakeoverAllowance = std::chrono::milliseconds(1050);
 
 // Between the decision to claim a run and the reading of the echo that its claim carries.
 constexpr Duration kClaimSendTime = std::chrono::milliseconds(200);
@@ -55,7 +55,7 @@
       m_worker_list(m_self, settings.drain_timeout() - kWorkerListReadTime) {
   const LeaseLimits& leases = settings.leases();
   const Duration claim_lapse = leases.caller_return() + kClaimSendTime;
-  const Duration lapse = std::max(leases.max_time_to_expiry() + kSilentOwnerAllowance, claim_lapse);
+  const Duration lapse = std::max(leases.max_time_to_expiry() + kTakeoverAllowance, claim_lapse);
   const LapseTimes times(leases.max_time_to_expiry(), claim_lapse, lapse,
                          lapse + kMaxOrderAge + kMaxQueueTime);
   for (std::size_t i = 0; i < kJobShards; ++i) {
--- a/tests/unit/fleet_disruptions.h
+++ b/tests/unit/fleet_disruptions.h
@@ -291,13 +291,13 @@
 
 inline void Fleet::BreakAgain(const std::vector<std::pair<std::size_t, std::size_t>>& links,
                               const FlappingLink& link, Duration period) {
-  const Duration refused = period * static_cast<int>(Pick(8)) / 10;
+  const Duration refused_for = period * static_cast<int>(Pick(8)) / 10;
   for (const auto& [from, to] : links) {
     const FlappingLink* before = m_paths.FlappingOf(from, to, m_now);
     const bool is_used = before == nullptr || before->is_used;
     m_paths.ResetLink(from, to);
     FlappingLink& now = m_paths.Flap(from, to, link);
-    now.opens_at = m_now + refused;
+    now.opens_at = m_now + refused_for;
     now.allowance = Pick(link.max_allowance + 1);
     if (is_used) Feed(from, LinkDown(m_members[to].node().address()));
   }
