Let Adopt say what it met

A second function repeated the order of Adopt's checks for the log line of an adoption, and had to be changed with it. The result is the one that the checks find now; the worker is reacquired in the same case as before.

--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -91,7 +91,7 @@
 /// @brief What an owner knows of a run that a coordinator adopts.
 enum class AdoptedState {
   kKnown,
-  kUnknown,   ///< to be treated as starting until the worker reports its runs
+  kUnknown,   ///< treated as starting until the worker reports its runs under a higher token
   kEnded,     ///< the worker has reported the end
   kNotOwner,  ///< the worker has another owner, or its process has ended
 };
@@ -142,10 +142,7 @@
                     SessionDelta& delta);
   void OnRenewal(const RenewalReplied& reply, Instant now, SessionDelta& delta);
   /// @brief Assigns a run on the worker to the coordinator that claims it.
-  /// @return false if the state of the run is unknown until the worker is reacquired.
-  bool Adopt(const AdoptRun& adoption, Instant now, SessionDelta& delta);
-  /// @return what an adoption of the run meets here.
-  AdoptedState StateOf(const RunKey& run) const;
+  AdoptedState Adopt(const AdoptRun& adoption, Instant now, SessionDelta& delta);
   /// @brief Requests the stop of a run that belongs to the coordinator or has not been adopted.
   /// @return whether there is such a run.
   bool Cancel(const RunKey& run, const NodeId& coordinator);
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -220,11 +220,8 @@
 
 void OwnerShard::On(const AdoptRun& event, Instant now, OwnerEffects& out) {
   const auto found = m_workers.find(event.worker());
-  LogAdoption(event,
-              found == m_workers.end() ? detail::AdoptedState::kNotOwner
-                                       : found->second.session.StateOf(event.run()),
-              now, out);
   if (found == m_workers.end()) {
+    LogAdoption(event, detail::AdoptedState::kNotOwner, now, out);
     m_reports[event.coordinator()].emplace_back(event.run(), RunTransition::kReleased,
                                                 RunEnd::kAbsent, event.worker(), "not_owner");
     return;
@@ -239,7 +236,12 @@
         WorkerIncarnation(listing.id(), listing.address(), event.process_start_ms()),
         LossState::kCrashed, 0, "", {TaskAtLoss(event.run().task(), LossRole::kPresent)}));
   }
-  if (!session.Adopt(event, now, delta)) session.Reacquire(m_tokens.Next(now), now);
+  const detail::AdoptedState state = session.Adopt(event, now, delta);
+  LogAdoption(event, state, now, out);
+  const bool is_acquiring = session.phase() == Session::Phase::kAcquiring;
+  if (state == detail::AdoptedState::kUnknown && !is_acquiring) {
+    session.Reacquire(m_tokens.Next(now), now);
+  }
   ApplyDelta(found->second, delta, now, out);
 }
 
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -90,7 +90,7 @@
           short_timeouts ? kShortStartTimeout : kStartTimeout};
 }
 
-bool WorkerSession::Adopt(const AdoptRun& adoption, Instant now, SessionDelta& delta) {
+AdoptedState WorkerSession::Adopt(const AdoptRun& adoption, Instant now, SessionDelta& delta) {
   const auto found = m_runs.find(adoption.run());
   if (found != m_runs.end()) {
     Run& record = found->second;
@@ -105,7 +105,7 @@
     if (record.phase == RunPhase::kRunning) {
       AddReport(adoption.run(), record, RunTransition::kStarted, RunEnd::kDone, "adopted", delta);
     }
-    return true;
+    return AdoptedState::kKnown;
   }
   Run record;
   record.coordinator = adoption.coordinator();
@@ -118,25 +118,25 @@
   if (m_phase == Phase::kFenced) {
     AddReport(adoption.run(), record, RunTransition::kReleased, RunEnd::kAbsent, "not_owner",
               delta);
-    return true;
+    return AdoptedState::kNotOwner;
   }
   if (m_phase == Phase::kTerminated) {
     // the worker's next incarnation reports the state of the run
     AddReport(adoption.run(), record, RunTransition::kReleased, RunEnd::kAbsent, "life_over",
               delta);
-    return true;
+    return AdoptedState::kNotOwner;
   }
   const auto ended = m_unclaimed_ends.find(adoption.run());
   if (ended != m_unclaimed_ends.end()) {
     AddReport(adoption.run(), record, RunTransition::kEnded, ended->second, "adopted", delta);
-    return true;
+    return AdoptedState::kEnded;
   }
   // Another owner may have started the run since the worker's last reply to this owner, and may
   // have extended the lease until now. Only a reply under a token higher than all of that owner's
   // shows whether the run exists; until then it is treated as starting.
   m_lease_extended_at = now;
   m_runs[adoption.run()] = record;
-  return m_phase == Phase::kAcquiring;
+  return AdoptedState::kUnknown;
 }
 
 Instant WorkerSession::ClaimedAt(const AdoptRun& adoption, Instant now) const {
@@ -145,12 +145,6 @@
                   m_liveness.WantedAt(adoption.coordinator(), adoption.run(), now));
 }
 
-AdoptedState WorkerSession::StateOf(const RunKey& run) const {
-  if (m_runs.count(run) > 0) return AdoptedState::kKnown;
-  if (m_phase == Phase::kFenced || m_phase == Phase::kTerminated) return AdoptedState::kNotOwner;
-  return m_unclaimed_ends.count(run) > 0 ? AdoptedState::kEnded : AdoptedState::kUnknown;
-}
-
 bool WorkerSession::Cancel(const RunKey& run, const NodeId& coordinator) {
   const auto found = m_runs.find(run);
   if (found == m_runs.end()) return false;
