Look for other runs of a task where an order would start

A query stopped runs on the side, and looked at all workers for each waiting order at each event. An order's replaced runs are stopped once, when it arrives; whether the task still has a run is asked once a worker has room for it.

--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -105,9 +105,10 @@
   // Stops the runs that their coordinators have not confirmed lately. They, or callers whose
   // coordinators have ended, are about to start them again.
   void StopOrphans(OwnedWorker& owned, Instant now, OwnerEffects& out);
-  // whether the run must wait for the end of another one of its task, which is stopped if the
-  // coordinator has replaced it
-  bool AwaitsOtherRun(const WaitingRun& waiting);
+  // stops the runs of the same task that the coordinator of a newer run has replaced
+  void StopReplacedRuns(const RunKey& run, const NodeId& coordinator);
+  // whether a worker of this owner has a run of the task
+  bool HasRunOf(const TaskKey& task) const;
   // whether the run would have to be stopped at once, because its coordinator may have given it up
   bool IsOrphaned(const WaitingRun& waiting, Instant now) const;
   void StartWaiting(Instant now, OwnerEffects& out);
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -170,6 +170,7 @@
                                                   RunEnd::kAbsent, "", "cancelled_before");
       continue;
     }
+    StopReplacedRuns(order.run(), event.coordinator());
     m_waiting.emplace_back(order, event.coordinator(), event.service(), event.queue(),
                            event.payload(), event.priority(), now, now + event.time_to_objective(),
                            now + event.time_to_deadline(), wanted_at);
@@ -494,24 +495,23 @@
   return now - wanted_at >= m_limits.orphan_stop_after();
 }
 
-bool OwnerShard::AwaitsOtherRun(const WaitingRun& waiting) {
-  const RunKey& run = waiting.order().run();
-  bool found = false;
+void OwnerShard::StopReplacedRuns(const RunKey& run, const NodeId& coordinator) {
   for (auto& [id, owned] : m_workers) {
     const auto other = owned.session.RunOf(run.task());
-    if (!other) continue;
-    found = true;
-    // the coordinator has replaced it, or a resubmission of the job has
-    const bool is_replaced =
-        other->coordinator() == waiting.coordinator() && other->run().number() < run.number();
-    if (is_replaced) owned.session.Cancel(other->run(), waiting.coordinator());
+    if (!other || other->coordinator() != coordinator) continue;
+    if (other->run().number() < run.number()) owned.session.Cancel(other->run(), coordinator);
   }
-  return found;
+}
+
+bool OwnerShard::HasRunOf(const TaskKey& task) const {
+  return std::any_of(m_workers.begin(), m_workers.end(), [&task](const auto& item) {
+    return item.second.session.RunOf(task).has_value();
+  });
 }
 
 bool OwnerShard::TryStart(const WaitingRun& waiting, const std::set<WorkerId>& reserved,
                           Instant now, OwnerEffects& out) {
-  if (IsOrphaned(waiting, now) || AwaitsOtherRun(waiting)) return false;
+  if (IsOrphaned(waiting, now)) return false;
   const WorkerFilter confinement = m_crashes.ConfinementOf(waiting.queue(), now);
   const WorkerFilter exposed = m_crashes.ExposedWorkers(now);
   const auto start_on_one = [&](bool may_be_exposed) {
@@ -525,7 +525,7 @@
                               m_speeds.Slowness(id));
       candidate_workers.push_back(&owned);
     }
-    if (candidates.empty()) return false;
+    if (candidates.empty() || HasRunOf(waiting.order().run().task())) return false;
     OwnedWorker& chosen = *candidate_workers[m_policies.choice().Choose(
         waiting.order(), waiting.objective_at() - now, candidates)];
     out.emplace_back(chosen.session.Start(waiting, m_next_call++, now, UseShortTimeouts(now)));
