Keep an order that waits for an earlier run of its task

So the check covered only owners without a neighbour that has room.

Such an order is no longer redirected; it waits for the end of the run, or is declined after the usual queue time. The new test fails without the change: the order is declined with room_elsewhere.

--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -392,7 +392,8 @@
       std::stable_partition(m_waiting.begin(), m_waiting.end(), [this](const WaitingRun& waiting) {
         return waiting.queued_since() != m_now || waiting.order().alone() ||
                waiting.order().declines() >= kMaxImmediateRedirects ||
-               !HasFreeCapacityElsewhere(waiting, /*include_other_zones=*/false);
+               !HasFreeCapacityElsewhere(waiting, /*include_other_zones=*/false) ||
+               HasRunOf(waiting.order().run().task());
       });
   for (auto waiting = first_removed; waiting != m_waiting.end(); ++waiting) {
     Decline(*waiting, "room_elsewhere");
@@ -418,7 +419,8 @@
     } else if (now - waiting.queued_since() >= kMaxQueueTime) {
       Decline(waiting, "queued_too_long");
     } else if (now - waiting.queued_since() > kRedirectAfter && !waiting.order().alone() &&
-               HasFreeCapacityElsewhere(waiting, /*include_other_zones=*/true)) {
+               HasFreeCapacityElsewhere(waiting, /*include_other_zones=*/true) &&
+               !HasRunOf(waiting.order().run().task())) {
       Decline(waiting, "room_elsewhere");
     } else {
       kept.push_back(waiting);
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -506,6 +506,26 @@
   }
 }
 
+// An order that waited for the end of an earlier run was sent on to an owner that knew nothing of
+// it.
+TEST_CASE("an order that waits for an earlier run of its task is not declined for room elsewhere") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10), Listing("w2", 11)});
+  owner.PlaceOrders({LongRun(0)}, kCoordinator);
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.OfferPeerCapacity();
+  const RunKey next(Run(0).task(), Run(0).number() + 1);
+  owner.PlaceOrders({RunOrder(next, kTaskNeeds, Millis(2000), "", "", 0, {})}, kCoordinator);
+  owner.now += Millis(100);
+  owner.Feed(OwnerTick());
+  CHECK(owner.starts.size() == 1);
+  CHECK_FALSE(owner.ReportOf(next));
+  owner.now += Millis(400);
+  owner.Feed(OwnerTick());
+  REQUIRE(owner.ReportOf(next));
+  CHECK(owner.ReportOf(next)->reason() == "queued_too_long");
+}
+
 // A claim that arrives while a renewal waits at the worker must not find the lease lapsed.
 TEST_CASE("renewals wait for a short time only while runs are unclaimed") {
   OwnerHarness owner;
