--- a/tests/unit/unit-dispatch_runner.cpp
+++ b/tests/unit/unit-dispatch_runner.cpp
@@ -58,19 +58,29 @@
   std::vector<std::string> lines;
 };
 
-}  // namespace
+// a runner of a node without workers, peers or callers
+struct RunnerHarness {
+  explicit RunnerHarness(Filter<DispatchInput, DispatchEffects>& node)
+      : runner(node, clock, workers, links, replies, format, metrics, log) {}
 
-TEST_CASE("an event whose handling fails is logged, and the next one is handled") {
-  FailingNode node;
-  const MonotonicClock clock;
+  MonotonicClock clock;
   NoWorkers workers;
   NoListener listener;
-  PeerLinks links(Address(0x7f000001, 7906), "key", listener);
+  PeerLinks links{Address(0x7f000001, 7906), "key", listener};
   PendingReplies replies;
-  const EmptyAnswers format;
+  EmptyAnswers format;
   Metrics metrics;
   RecordingLog log;
-  DispatchRunner runner(node, clock, workers, links, replies, format, metrics, log);
+  DispatchRunner runner;
+};
+
+}  // namespace
+
+TEST_CASE("an event whose handling fails is logged, and the next one is handled") {
+  FailingNode node;
+  RunnerHarness harness(node);
+  DispatchRunner& runner = harness.runner;
+  const RecordingLog& log = harness.log;
   CHECK_NOTHROW(runner.Accept(DispatchTick()));
   REQUIRE(log.lines.size() == 1);
   CHECK(log.lines[0].find("event=event_failed") != std::string::npos);
@@ -83,17 +93,9 @@
 
 TEST_CASE("what a node counts is on the metrics page") {
   CountingNode node;
-  const MonotonicClock clock;
-  NoWorkers workers;
-  NoListener listener;
-  PeerLinks links(Address(0x7f000001, 7906), "key", listener);
-  PendingReplies replies;
-  const EmptyAnswers format;
-  Metrics metrics;
-  RecordingLog log;
-  DispatchRunner runner(node, clock, workers, links, replies, format, metrics, log);
-  runner.Accept(DispatchTick());
-  runner.Accept(DispatchTick());
-  CHECK(metrics.Render().find("sapphireflow_adoptions_total{state=\"sent\"} 2\n") !=
+  RunnerHarness harness(node);
+  harness.runner.Accept(DispatchTick());
+  harness.runner.Accept(DispatchTick());
+  CHECK(harness.metrics.Render().find("sapphireflow_adoptions_total{state=\"sent\"} 2\n") !=
         std::string::npos);
 }
