--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "sapphireflow/dispatch/detail/job_key_text.h"
+#include "sapphireflow/dispatch/detail/log_fields.h"
 
 namespace sapphireflow {
 namespace {
@@ -13,8 +14,6 @@
 // answers are kept this long for duplicate submissions that arrive late
 constexpr Duration kFinishedRetention = std::chrono::seconds(10);
 constexpr std::size_t kMaxFinished = 5000;
-// an owner that was paused may still have a record of a run whose lease has ended
-constexpr Duration kLapsedRetention = std::chrono::seconds(2);
 // after more consecutive declines than this a task waits for the next tick to be placed again
 constexpr std::uint32_t kMaxPromptRetries = 3;
 // number of runs of one task, ended for any reason, after which the job is abandoned
@@ -134,7 +133,6 @@
 std::vector<RunKey> JobShard::DoubtedRuns() const {
   std::vector<RunKey> runs;
   std::lock_guard<std::mutex> lock(m_mutex);
-  for (const auto& [run, lapsed_at] : m_lapsed) runs.push_back(run);
   for (const auto& [key, job] : m_jobs) {
     for (std::uint32_t s = 0; s < job.tasks.size(); ++s) {
       for (std::uint32_t i = 0; i < job.tasks[s].size(); ++i) {
@@ -416,15 +414,12 @@
   if (report.end() == RunEnd::kFailed) ++task.failures;
   ++task.ended_runs;
   if (job.closing) return;
-  out.emplace_back(LogEvent(LogLevel::kWarning, "run_ended",
-                            {{"job", detail::JobKeyText(report.run().task().job())},
-                             {"step", std::to_string(report.run().task().step())},
-                             {"task", std::to_string(report.run().task().index())},
-                             {"run", std::to_string(report.run().number())},
-                             {"worker", report.worker()},
-                             {"end", RunEndName(report.end())},
-                             {"why", report.reason()},
-                             {"failures", std::to_string(task.failures)}}));
+  out.emplace_back(
+      LogEvent(LogLevel::kWarning, "run_ended",
+               detail::RunFields(report.run(), {{"worker", report.worker()},
+                                                {"end", RunEndName(report.end())},
+                                                {"why", report.reason()},
+                                                {"failures", std::to_string(task.failures)}})));
   if (task.failures >= job.order->max_attempts()) {
     Close(job, JobVerdict::kFailed,
           Error(ErrorId::kTaskFailed, "task " + std::to_string(report.run().task().index()) +
@@ -479,15 +474,14 @@
 
 void JobShard::LogDeclined(const Job& job, const Task& task, const RunReport& report, Instant now,
                            JobEffects& out) const {
-  out.emplace_back(LogEvent(LogLevel::kInfo, "run_declined",
-                            {{"job", detail::JobKeyText(report.run().task().job())},
-                             {"task", std::to_string(report.run().task().index())},
-                             {"run", std::to_string(report.run().number())},
-                             {"owner", task.owner.text()},
-                             {"worker", report.worker()},
-                             {"why", report.reason()},
-                             {"in_a_row", std::to_string(task.declines)},
-                             {"after_ms", std::to_string(ToMillis(now - job.received_at))}}));
+  out.emplace_back(
+      LogEvent(LogLevel::kInfo, "run_declined",
+               detail::RunFields(report.run(),
+                                 {{"owner", task.owner.text()},
+                                  {"worker", report.worker()},
+                                  {"why", report.reason()},
+                                  {"in_a_row", std::to_string(task.declines)},
+                                  {"after_ms", std::to_string(ToMillis(now - job.received_at))}})));
 }
 
 void JobShard::On(const JobTick& /*event*/, Instant now, JobEffects& out) {
@@ -509,9 +503,6 @@
     item = now - item->second.at > kFinishedRetention ? m_highest_run_numbers.erase(item)
                                                       : std::next(item);
   }
-  for (auto item = m_lapsed.begin(); item != m_lapsed.end();) {
-    item = now - item->second > kLapsedRetention ? m_lapsed.erase(item) : std::next(item);
-  }
   while (!m_finished_order.empty() && (now - m_finished_order.front().first > kFinishedRetention ||
                                        m_finished_order.size() > kMaxFinished)) {
     m_finished.erase(m_finished_order.front().second);
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -163,13 +163,14 @@
       m_liveness.EchoedAt(event.coordinator(), event.echo()).value_or(Instant{});
   for (const RunOrder& order : event.runs()) {
     if (m_cancelled.count(order.run()) > 0) {
-      LogEvent::Pairs pairs = detail::RunFields(order.run());
-      pairs.emplace_back("coordinator", event.coordinator().text());
-      out.emplace_back(LogEvent(LogLevel::kWarning, "order_after_cancel", std::move(pairs)));
+      out.emplace_back(
+          LogEvent(LogLevel::kWarning, "order_after_cancel",
+                   detail::RunFields(order.run(), {{"coordinator", event.coordinator().text()}})));
       m_reports[event.coordinator()].emplace_back(order.run(), RunTransition::kDeclined,
                                                   RunEnd::kAbsent, "", "cancelled_before");
       continue;
     }
+    StopReplacedRuns(order.run(), event.coordinator());
     m_waiting.emplace_back(order, event.coordinator(), event.service(), event.queue(),
                            event.payload(), event.priority(), now, now + event.time_to_objective(),
                            now + event.time_to_deadline(), wanted_at);
@@ -211,21 +212,17 @@
   out.emplace_back(
       CounterIncrement("adoptions_total", "state", is_refused ? "refused" : "accepted"));
   if (!m_logged_adoptions.IsNew({adoption.run(), adoption.coordinator(), state}, now)) return;
-  LogEvent::Pairs pairs = {{"worker", adoption.worker()}};
-  const LogEvent::Pairs run = detail::RunFields(adoption.run());
-  pairs.insert(pairs.end(), run.begin(), run.end());
-  pairs.emplace_back("coordinator", adoption.coordinator().text());
-  pairs.emplace_back("known", AdoptedStateName(state));
-  out.emplace_back(LogEvent(LogLevel::kInfo, "run_adopted", std::move(pairs)));
+  out.emplace_back(
+      LogEvent(LogLevel::kInfo, "run_adopted",
+               detail::RunFields(adoption.run(), {{"worker", adoption.worker()},
+                                                  {"coordinator", adoption.coordinator().text()},
+                                                  {"known", AdoptedStateName(state)}})));
 }
 
 void OwnerShard::On(const AdoptRun& event, Instant now, OwnerEffects& out) {
   const auto found = m_workers.find(event.worker());
-  LogAdoption(event,
-              found == m_workers.end() ? detail::AdoptedState::kNotOwner
-                                       : found->second.session.StateOf(event.run()),
-              now, out);
   if (found == m_workers.end()) {
+    LogAdoption(event, detail::AdoptedState::kNotOwner, now, out);
     m_reports[event.coordinator()].emplace_back(event.run(), RunTransition::kReleased,
                                                 RunEnd::kAbsent, event.worker(), "not_owner");
     return;
@@ -240,7 +237,12 @@
         WorkerIncarnation(listing.id(), listing.address(), event.process_start_ms()),
         LossState::kCrashed, 0, "", {TaskAtLoss(event.run().task(), LossRole::kPresent)}));
   }
-  if (!session.Adopt(event, now, delta)) session.Reacquire(m_tokens.Next(now), now);
+  const detail::AdoptedState state = session.Adopt(event, now, delta);
+  LogAdoption(event, state, now, out);
+  const bool is_acquiring = session.phase() == Session::Phase::kAcquiring;
+  if (state == detail::AdoptedState::kUnknown && !is_acquiring) {
+    session.Reacquire(m_tokens.Next(now), now);
+  }
   ApplyDelta(found->second, delta, now, out);
 }
 
@@ -255,13 +257,11 @@
     session.Reacquire(m_tokens.Next(now), now);
   }
   if (event.outcome() != CallOutcome::kOk) {
-    out.emplace_back(LogEvent(LogLevel::kWarning, "start_refused",
-                              {{"worker", event.worker()},
-                               {"job", detail::JobKeyText(event.run().task().job())},
-                               {"task", std::to_string(event.run().task().index())},
-                               {"run", std::to_string(event.run().number())},
-                               {"outcome", CallOutcomeName(event.outcome())},
-                               {"token", std::to_string(event.token())}}));
+    out.emplace_back(
+        LogEvent(LogLevel::kWarning, "start_refused",
+                 detail::RunFields(event.run(), {{"worker", event.worker()},
+                                                 {"outcome", CallOutcomeName(event.outcome())},
+                                                 {"token", std::to_string(event.token())}})));
   }
   ApplyDelta(found->second, delta, now, out);
 }
@@ -317,16 +317,14 @@
 
 void OwnerShard::StopOrphans(OwnedWorker& owned, Instant now, OwnerEffects& out) {
   for (const detail::OrphanedRun& orphan : owned.session.CancelOrphans(now)) {
-    const RunKey& run = orphan.run();
-    out.emplace_back(
-        LogEvent(LogLevel::kWarning, "orphan_stopped",
-                 {{"worker", owned.session.listing().id()},
-                  {"job", detail::JobKeyText(run.task().job())},
-                  {"task", std::to_string(run.task().index())},
-                  {"run", std::to_string(run.number())},
-                  {"coordinator", orphan.coordinator().text()},
-                  {"silent_ms", MillisText(now - m_liveness.AliveAt(orphan.coordinator(), now))},
-                  {"unconfirmed_ms", MillisText(now - orphan.wanted_at())}}));
+    out.emplace_back(LogEvent(
+        LogLevel::kWarning, "orphan_stopped",
+        detail::RunFields(
+            orphan.run(),
+            {{"worker", owned.session.listing().id()},
+             {"coordinator", orphan.coordinator().text()},
+             {"silent_ms", MillisText(now - m_liveness.AliveAt(orphan.coordinator(), now))},
+             {"unconfirmed_ms", MillisText(now - orphan.wanted_at())}})));
   }
 }
 
@@ -394,7 +392,8 @@
       std::stable_partition(m_waiting.begin(), m_waiting.end(), [this](const WaitingRun& waiting) {
         return waiting.queued_since() != m_now || waiting.order().alone() ||
                waiting.order().declines() >= kMaxImmediateRedirects ||
-               !HasFreeCapacityElsewhere(waiting, /*include_other_zones=*/false);
+               !HasFreeCapacityElsewhere(waiting, /*include_other_zones=*/false) ||
+               HasRunOf(waiting.order().run().task());
       });
   for (auto waiting = first_removed; waiting != m_waiting.end(); ++waiting) {
     Decline(*waiting, "room_elsewhere");
@@ -420,7 +419,8 @@
     } else if (now - waiting.queued_since() >= kMaxQueueTime) {
       Decline(waiting, "queued_too_long");
     } else if (now - waiting.queued_since() > kRedirectAfter && !waiting.order().alone() &&
-               HasFreeCapacityElsewhere(waiting, /*include_other_zones=*/true)) {
+               HasFreeCapacityElsewhere(waiting, /*include_other_zones=*/true) &&
+               !HasRunOf(waiting.order().run().task())) {
       Decline(waiting, "room_elsewhere");
     } else {
       kept.push_back(waiting);
@@ -497,24 +497,23 @@
   return now - wanted_at >= m_limits.orphan_stop_after();
 }
 
-bool OwnerShard::AwaitsOtherRun(const WaitingRun& waiting) {
-  const RunKey& run = waiting.order().run();
-  bool found = false;
+void OwnerShard::StopReplacedRuns(const RunKey& run, const NodeId& coordinator) {
   for (auto& [id, owned] : m_workers) {
     const auto other = owned.session.RunOf(run.task());
-    if (!other) continue;
-    found = true;
-    // the coordinator has replaced it, or a resubmission of the job has
-    const bool is_replaced =
-        other->coordinator() == waiting.coordinator() && other->run().number() < run.number();
-    if (is_replaced) owned.session.Cancel(other->run(), waiting.coordinator());
+    if (!other || other->coordinator() != coordinator) continue;
+    if (other->run().number() < run.number()) owned.session.Cancel(other->run(), coordinator);
   }
-  return found;
+}
+
+bool OwnerShard::HasRunOf(const TaskKey& task) const {
+  return std::any_of(m_workers.begin(), m_workers.end(), [&task](const auto& item) {
+    return item.second.session.RunOf(task).has_value();
+  });
 }
 
 bool OwnerShard::TryStart(const WaitingRun& waiting, const std::set<WorkerId>& reserved,
                           Instant now, OwnerEffects& out) {
-  if (IsOrphaned(waiting, now) || AwaitsOtherRun(waiting)) return false;
+  if (IsOrphaned(waiting, now)) return false;
   const WorkerFilter confinement = m_crashes.ConfinementOf(waiting.queue(), now);
   const WorkerFilter exposed = m_crashes.ExposedWorkers(now);
   const auto start_on_one = [&](bool may_be_exposed) {
@@ -528,7 +527,7 @@
                               m_speeds.Slowness(id));
       candidate_workers.push_back(&owned);
     }
-    if (candidates.empty()) return false;
+    if (candidates.empty() || HasRunOf(waiting.order().run().task())) return false;
     OwnedWorker& chosen = *candidate_workers[m_policies.choice().Choose(
         waiting.order(), waiting.objective_at() - now, candidates)];
     out.emplace_back(chosen.session.Start(waiting, m_next_call++, now, UseShortTimeouts(now)));
