Script the pauses of a test of the list of workers

Cause: the test took the interest away as soon as it saw that the first watch had been counted, which can be before the watch has been answered; then nothing is watched again. A pause of 50 ms between the two in the old test fails each time, at the same line. The product is as it was.

The interest now ends after its second answer and returns after two more, and the store answers the first reading only; no thread of the test sets anything meanwhile. With the same pause the new test passes. Without the guard in PublishWorkers that it is there for, it fails as before (two empty lists).

--- a/tests/unit/unit-directory_watch.cpp
+++ b/tests/unit/unit-directory_watch.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <future>
+#include <limits>
 #include <mutex>
 #include <stdexcept>
 #include <thread>
@@ -24,8 +25,8 @@
 class ScriptedStore : public PlatformStore {
  public:
   void ReadWorkers(Done<WorkerListings> done) override {
-    ++reads;
-    if (answers) done(VersionedValue<WorkerListings>(1, {Listing("w1"), Listing("w2")}));
+    if (++reads <= answered_reads && answers)
+      done(VersionedValue<WorkerListings>(1, {Listing("w1"), Listing("w2")}));
   }
   void ReadMembers(Done<std::vector<MemberListing>> done) override {
     done(VersionedValue<std::vector<MemberListing>>(1, {}));
@@ -50,13 +51,23 @@
 
   std::atomic<bool> answers{true};
   std::atomic<int> reads{0};
+  std::atomic<int> answered_reads{std::numeric_limits<int>::max()};
   std::atomic<int> watches{0};
 };
 
+// Reads the workers, but for a pause of two answers after the given number of answers.
 class Interest : public WorkerListInterest {
  public:
-  bool ReadsWorkers() const override { return reads; }
-  std::atomic<bool> reads{true};
+  explicit Interest(int answers_before_pause = std::numeric_limits<int>::max() - 2)
+      : m_answers_before_pause(answers_before_pause) {}
+  bool ReadsWorkers() const override {
+    const int answer = ++m_answers;
+    return answer <= m_answers_before_pause || answer > m_answers_before_pause + 2;
+  }
+
+ private:
+  const int m_answers_before_pause;
+  mutable std::atomic<int> m_answers{0};
 };
 
 class Listed : public Sink<DispatchEvent> {
@@ -121,7 +132,9 @@
 TEST_CASE("no workers are reported between two periods of reading them") {
   const MonotonicClock clock;
   ScriptedStore store;
-  Interest interest;
+  // the list is not read any more after the second watch, and then read anew without an answer
+  store.answered_reads = 1;
+  const Interest interest(/*answers_before_pause=*/2);
   Listed listed;
   NoLog log;
   TimerThread timers(clock);
@@ -129,12 +142,8 @@
                        listed, clock, timers, log);
   watch.Start();
   // the first watch shows that a worker is missing; it stays listed for 2.5 s
-  REQUIRE(Await([&] { return store.watches >= 1; }));
-  interest.reads = false;
-  REQUIRE(Await([&] { return store.watches >= 2; }));
-  store.answers = false;
-  interest.reads = true;
   REQUIRE(Await([&] { return store.reads >= 2; }));
+  CHECK(store.watches == 2);
   std::this_thread::sleep_for(std::chrono::milliseconds(2600));
   timers.Stop();
   for (const std::size_t size : listed.sizes()) CHECK(size > 0);
