Start nothing by a list of workers that is older than the drain timeout

The age of the list decided only which source is followed, and was not looked at where a run starts. Change: WorkerList says whether runs may start by it (ListingFreshness): not while the store answers this VM and the list is older than the drain timeout less 100 ms for the start request. A VM that the store does not answer goes on. Owners start and advertise nothing meanwhile. The simulated store without faults also reports the workers, as the one with faults does. Result: unit-worker_list, unit-owner_shard: the new cases pass; by construction they cannot compile before.

--- a/include/sapphireflow/membership/worker_list.h
+++ b/include/sapphireflow/membership/worker_list.h
@@ -11,6 +11,7 @@
 #include "sapphireflow/model/ids.h"
 #include "sapphireflow/model/time.h"
 #include "sapphireflow/model/worker_listing.h"
+#include "sapphireflow/ownership/listing_freshness.h"
 
 namespace sapphireflow {
 
@@ -25,10 +26,12 @@
 ///
 /// The list is as of a time by this VM's clock: it has all changes that the store had accepted
 /// then. Neither a pause of a member nor the delay of a message moves that time.
-class WorkerList {
+class WorkerList : public ListingFreshness {
  public:
   /// @param max_age a list that is older is replaced by that of another source
-  WorkerList(const NodeId& self, Duration max_age) : m_self(self), m_max_age(max_age) {}
+  /// @param drain_timeout time after the report that a worker drains by which no run starts there
+  WorkerList(const NodeId& self, Duration max_age, Duration drain_timeout)
+      : m_self(self), m_max_age(max_age), m_drain_timeout(drain_timeout) {}
 
   /// @brief Replaces the list by one read from the store, unless a newer one is being followed.
   /// @return the changes, with consecutive versions; empty if there are none.
@@ -50,6 +53,9 @@
   /// @return the list that this VM has read; empty if it follows another member.
   std::optional<WorkerListUpdate> Snapshot() const;
   WorkerListings Current() const;
+  /// @brief The store has answered a call of this VM.
+  void OnStoreAnswer(Instant now);
+  bool AllowsStarts(Instant now) const override;
 
  private:
   // returns whether the list has changed
@@ -57,6 +63,7 @@
 
   const NodeId m_self;
   const Duration m_max_age;
+  const Duration m_drain_timeout;
   mutable std::mutex m_mutex;
   // all below guarded by m_mutex
   std::map<WorkerId, WorkerListing> m_workers;
@@ -73,6 +80,8 @@
   // the same for the newest offer of any relay; at first, when this VM began to wait for one
   mutable Instant m_relays_as_of{};
   Instant m_requested_at{};
+  // when the store last answered a call of this VM; empty before the first answer
+  std::optional<Instant> m_store_answered_at;
 };
 
 }  // namespace sapphireflow
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -16,6 +16,7 @@
 #include "sapphireflow/observe/repeat_filter.h"
 #include "sapphireflow/ownership/coordinator_liveness.h"
 #include "sapphireflow/ownership/detail/worker_session.h"
+#include "sapphireflow/ownership/listing_freshness.h"
 #include "sapphireflow/ownership/owner_event.h"
 #include "sapphireflow/ownership/speed_estimator.h"
 #include "sapphireflow/ownership/start_order_policy.h"
@@ -57,7 +58,7 @@
   OwnerShard(const NodeId& self, const LeaseLimits& limits, OwnerPolicies policies,
              TokenSource& tokens, std::atomic<CallNumber>& next_call,
              const CapacityView& peer_capacity, const CrashHistory& crashes,
-             const CoordinatorLiveness& liveness);
+             const CoordinatorLiveness& liveness, const ListingFreshness& freshness);
 
   OwnerEffects Apply(const OwnerInput& in) override;
 
@@ -146,6 +147,7 @@
   const CapacityView& m_peer_capacity;
   const CrashHistory& m_crashes;
   const CoordinatorLiveness& m_liveness;
+  const ListingFreshness& m_freshness;
 
   mutable std::mutex m_mutex;
   // all below guarded by m_mutex
--- a/src/membership/worker_list.cc
+++ b/src/membership/worker_list.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr Duration kRequestInterval = std::chrono::milliseconds(500);
+// Between the decision to start a run and its arrival at the worker.
+constexpr Duration kStartRequestTime = std::chrono::milliseconds(100);
+// Each VM gets an answer of the store at least once a second while the store is available.
+constexpr Duration kStoreAnswerInterval = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -124,4 +128,16 @@
   return current;
 }
 
+void WorkerList::OnStoreAnswer(Instant now) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_store_answered_at = now;
+}
+
+bool WorkerList::AllowsStarts(Instant now) const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const bool store_answers =
+      m_store_answered_at && now - *m_store_answered_at <= kStoreAnswerInterval;
+  return !store_answers || now - m_as_of <= m_drain_timeout - kStartRequestTime;
+}
+
 }  // namespace sapphireflow
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -64,7 +64,7 @@
 OwnerShard::OwnerShard(const NodeId& self, const LeaseLimits& limits, OwnerPolicies policies,
                        TokenSource& tokens, std::atomic<CallNumber>& next_call,
                        const CapacityView& peer_capacity, const CrashHistory& crashes,
-                       const CoordinatorLiveness& liveness)
+                       const CoordinatorLiveness& liveness, const ListingFreshness& freshness)
     : m_self(self),
       m_limits(limits),
       m_tokens(tokens),
@@ -72,6 +72,7 @@
       m_peer_capacity(peer_capacity),
       m_crashes(crashes),
       m_liveness(liveness),
+      m_freshness(freshness),
       m_policies(std::move(policies)) {}
 
 OwnerEffects OwnerShard::Apply(const OwnerInput& in) {
@@ -430,7 +431,7 @@
 }
 
 void OwnerShard::StartWaiting(Instant now, OwnerEffects& out) {
-  if (m_waiting.empty()) return;
+  if (m_waiting.empty() || !m_freshness.AllowsStarts(now)) return;
   const StartOrderPolicy& order = m_policies.order();
   std::stable_sort(
       m_waiting.begin(), m_waiting.end(),
--- a/src/ownership/owner_shard_reports.cc
+++ b/src/ownership/owner_shard_reports.cc
@@ -55,12 +55,13 @@
     double waiting_core_ms = 0;
   };
   std::map<std::string, Sum> sums;
+  const bool may_start = m_freshness.AllowsStarts(m_now);
   for (const auto& [id, owned] : m_workers) {
     const Session& session = owned.session;
     // services without a usable worker are reported, too
     Sum& sum = sums[session.listing().service()];
     const bool is_included = only_workers.empty() || only_workers.count(id) > 0;
-    const auto allowance = session.Usable() ? AllowedRuns(session, m_now) : 0;
+    const auto allowance = may_start && session.Usable() ? AllowedRuns(session, m_now) : 0;
     if (allowance > 0) sum.milli_cores += session.listing().capacity().milli_cores();
     if (!is_included) continue;
     const Resources free_capacity =
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -52,7 +52,8 @@
       m_tokens(m_self),
       m_capacity(m_self, listing.zone(), MakeOwnerChoice(settings.owner_choice())),
       m_members(listing, settings.leases()),
-      m_worker_list(m_self, settings.drain_timeout() - kWorkerListReadTime) {
+      m_worker_list(m_self, settings.drain_timeout() - kWorkerListReadTime,
+                    settings.drain_timeout()) {
   const LeaseLimits& leases = settings.leases();
   const Duration claim_lapse = leases.caller_return() + kClaimSendTime;
   const Duration lapse = std::max(leases.max_time_to_expiry() + kTakeoverAllowance, claim_lapse);
@@ -62,9 +63,9 @@
     m_jobs.push_back(std::make_unique<JobShard>(m_self, times, m_capacity, m_members, m_crashes));
   }
   for (std::size_t i = 0; i < kOwnerShards; ++i) {
-    m_owners.push_back(std::make_unique<OwnerShard>(m_self, settings.leases(),
-                                                    MakePolicies(settings), m_tokens, m_next_call,
-                                                    m_capacity, m_crashes, m_members));
+    m_owners.push_back(
+        std::make_unique<OwnerShard>(m_self, settings.leases(), MakePolicies(settings), m_tokens,
+                                     m_next_call, m_capacity, m_crashes, m_members, m_worker_list));
   }
 }
 
@@ -138,6 +139,7 @@
 
 void DispatchNode::HandleEvent(const StoreAnswered& /*event*/, EventContext& ctx) {
   m_members.OnStoreAnswer(ctx.now);
+  m_worker_list.OnStoreAnswer(ctx.now);
 }
 
 void DispatchNode::HandleEvent(const ConfigurationCopy& event, EventContext& ctx) {
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -62,6 +62,8 @@
       Feed(i, MembersListed(m_members));
       Tick(i);
     }
+    // a store that answers also reports the workers, however calm the fleet is
+    At(kStart + Millis(400), [this] { PublishWorkers(); });
     if (m_faults.Any()) ScheduleFaults();
   }
 
@@ -460,7 +462,6 @@
 
   void ScheduleFaults() {
     if (m_faults.Literal()) ScheduleLiteralFaults();
-    At(kStart + Millis(400), [this] { PublishWorkers(); });
     for (int i = 0; i < m_faults.member_kills; ++i) {
       At(kStart + Millis(1000.0 + Pick(9000)), [this] { KillMember(Pick(m_node_count)); });
     }
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -70,6 +70,13 @@
   std::map<std::uint64_t, Instant> sent;
 };
 
+// A list of workers that is recent enough or not, as set.
+class ScriptedFreshness : public ListingFreshness {
+ public:
+  bool AllowsStarts(Instant /*now*/) const override { return is_fresh; }
+  bool is_fresh = true;
+};
+
 // An owner shard with a manual clock; records its effects by kind.
 class OwnerHarness {
  public:
@@ -80,7 +87,7 @@
                 OwnerPolicies(MakeStartOrderPolicy("least-slack"),
                               std::make_unique<SlowestSufficientChoice>(2.0),
                               MakeOutlierDetector(outliers)),
-                m_tokens, m_next_call, m_peer_capacity_view, crashes, liveness) {}
+                m_tokens, m_next_call, m_peer_capacity_view, crashes, liveness, freshness) {}
 
   void Feed(OwnerEvent event) {
     for (OwnerEffect& effect : m_shard.Apply(OwnerInput(now, std::move(event)))) {
@@ -202,6 +209,7 @@
   std::map<std::string, int> counts;
   CrashLedger crashes;
   ScriptedLiveness liveness;
+  ScriptedFreshness freshness;
 
  private:
   CapacityView m_peer_capacity_view;
@@ -565,6 +573,19 @@
   CHECK(owner.starts.empty());
 }
 
+// Guards against starts on a worker whose drain report this VM has not read yet.
+TEST_CASE("no run starts by an outdated list of workers, and none is attracted") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.freshness.is_fresh = false;
+  owner.Place({0});
+  CHECK(owner.starts.empty());
+  owner.freshness.is_fresh = true;
+  owner.now += Millis(50);
+  owner.Feed(OwnerTick());
+  CHECK(owner.starts.size() == 1);
+}
+
 TEST_CASE("a worker that restarts under its id has lost its runs") {
   OwnerHarness owner;
   owner.AcquireWorkers({Listing("w1", 10)});
--- a/tests/unit/unit-worker_list.cpp
+++ b/tests/unit/unit-worker_list.cpp
@@ -13,6 +13,7 @@
 const NodeId kRelay(Address(2, 1), 1);
 const NodeId kOtherRelay(Address(3, 1), 1);
 constexpr Duration kMaxAge = std::chrono::milliseconds(1500);
+constexpr Duration kDrainTimeout = std::chrono::milliseconds(2000);
 const Instant kStart = FromUnixMillis(1700000000000);
 
 Duration Millis(int millis) { return std::chrono::milliseconds(millis); }
@@ -31,7 +32,7 @@
 }  // namespace
 
 TEST_CASE("a relay passes on only what has changed") {
-  WorkerList list(kSelf, kMaxAge);
+  WorkerList list(kSelf, kMaxAge, kDrainTimeout);
   const auto first = list.OnRead({Listing("w1"), Listing("w2")}, kStart);
   REQUIRE(first);
   CHECK(first->base() == 0);
@@ -47,7 +48,7 @@
 }
 
 TEST_CASE("a member follows one relay, and asks for the whole list when updates are missing") {
-  WorkerList list(kSelf, kMaxAge);
+  WorkerList list(kSelf, kMaxAge, kDrainTimeout);
   CHECK(list.OnOffer(kRelay, true, 4, kStart, kStart));
   CHECK(list.OnUpdate(Whole(kRelay, 4, {Listing("w1")})));
   CHECK_FALSE(list.OnOffer(kOtherRelay, true, 9, kStart + Millis(100), kStart + Millis(100)));
@@ -72,7 +73,7 @@
 // A relay that had lost the store went on offering its list for seconds, and its followers started
 // runs on workers that had drained since.
 TEST_CASE("a member leaves a relay whose list grows old, however often it is offered") {
-  WorkerList list(kSelf, kMaxAge);
+  WorkerList list(kSelf, kMaxAge, kDrainTimeout);
   CHECK_FALSE(list.LacksRelay(kStart));  // a relay may still offer its list
   REQUIRE(list.OnOffer(kRelay, true, 4, kStart, kStart));
   REQUIRE(list.OnUpdate(Whole(kRelay, 4, {Listing("w1"), Listing("w2")})));
@@ -104,7 +105,7 @@
 
 // It went on with the capacities that it knew, and started runs beyond those that had shrunk.
 TEST_CASE("a relay that is cut off from the store follows another member of its zone") {
-  WorkerList list(kSelf, kMaxAge);
+  WorkerList list(kSelf, kMaxAge, kDrainTimeout);
   REQUIRE(list.OnRead({Listing("w1")}, kStart));
   const WorkerListVersion own = list.Offer(kStart)->version();
   const Instant cut_off = kStart + Millis(1600);
@@ -130,3 +131,32 @@
     CHECK(list.Offer(cut_off + Millis(500)) == WorkerListOffer(update->version(), Millis(0)));
   }
 }
+
+// Guards against runs that start on a draining worker because a VM without CPU time reads the list
+// late (DRAIN on days of overload).
+TEST_CASE("a VM that the store answers starts nothing by a list older than the drain timeout") {
+  WorkerList list(kSelf, kMaxAge, kDrainTimeout);
+  list.OnRead({Listing("w1")}, kStart);
+  list.OnStoreAnswer(kStart + Millis(1800));
+  CHECK(list.AllowsStarts(kStart + Millis(1900)));
+  CHECK_FALSE(list.AllowsStarts(kStart + Millis(1901)));
+  SECTION("a newer list ends it") {
+    list.OnRead({Listing("w1")}, kStart + Millis(1700));
+    CHECK(list.AllowsStarts(kStart + Millis(2000)));
+  }
+  SECTION("a VM that the store has stopped answering goes on") {
+    CHECK_FALSE(list.AllowsStarts(kStart + Millis(3000)));
+    CHECK(list.AllowsStarts(kStart + Millis(3001)));
+  }
+  SECTION("offers of an old list don't count as a newer list") {
+    list.OnOffer(kRelay, true, 3, kStart - Millis(100), kStart + Millis(2000));
+    CHECK_FALSE(list.AllowsStarts(kStart + Millis(2000)));
+  }
+}
+
+TEST_CASE("a VM that the store has never answered starts runs by what it was told") {
+  WorkerList list(kSelf, kMaxAge, kDrainTimeout);
+  list.OnOffer(kRelay, true, 4, kStart, kStart);
+  list.OnUpdate(Whole(kRelay, 4, {Listing("w1")}));
+  CHECK(list.AllowsStarts(kStart + Millis(10000)));
+}
