--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -65,6 +65,17 @@
     if (m_faults.Any()) ScheduleFaults();
   }
 
+  // Evacuates zones for a while; each member learns of both changes within a second, and starts
+  // nothing there in between.
+  void EvacuateBetween(Duration from, Duration until, const std::set<std::string>& zones) {
+    for (std::size_t i = 0; i < m_node_count; ++i) {
+      At(kStart + from + Millis(Pick(1000)),
+         [this, i, zones] { Feed(i, EvacuationsListed(EvacuatedZones(zones))); });
+      At(kStart + until + Millis(Pick(1000)),
+         [this, i] { Feed(i, EvacuationsListed(EvacuatedZones())); });
+    }
+  }
+
   // submits jobs for five seconds, then leaves time for all of them to end
   void Run() {
     for (int i = 0; i < kJobs; ++i) {
@@ -86,6 +97,8 @@
   // by whether the job has a task that crashes its workers
   std::uint32_t failed_crashing = 0;
   std::uint32_t crashes = 0;
+  // ordered by members that count a zone as evacuated
+  std::uint32_t starts_while_evacuated = 0;
   // jobs without such a task that were never answered with success
   std::uint32_t Unserved() const {
     std::uint32_t count = 0;
@@ -164,7 +177,11 @@
   }
 
   void Handle(std::size_t node, const DispatchEvent& event) {
+    if (const auto* listed = std::get_if<EvacuationsListed>(&event)) {
+      m_evacuated[node] = listed->zones();
+    }
     const DispatchEffects effects = m_nodes[node]->Apply(DispatchInput(m_now, event));
+    if (!m_evacuated[node].empty()) CheckEvacuation(node, effects);
     // the threads of a node may execute effects after those of a later event
     const Duration extra_delay = Chance(0.01) ? Millis(Pick(30)) : Duration::zero();
     for (const DispatchEffect& effect : effects) {
@@ -175,6 +192,18 @@
     }
   }
 
+  void CheckEvacuation(std::size_t node, const DispatchEffects& effects) {
+    for (const DispatchEffect& effect : effects) {
+      const auto* start = std::get_if<StartRun>(&effect);
+      if (start == nullptr) continue;
+      ++starts_while_evacuated;
+      const FleetWorker& worker = m_workers.at(start->call().address());
+      if (!m_evacuated[node].Contains(worker.zone)) continue;
+      violations.Add("evacuated: " + worker.id + " was ordered to start a run at " +
+                     std::to_string(ToMillis(m_now - kStart)));
+    }
+  }
+
   void Tick(std::size_t node) {
     Feed(node, DispatchTick());
     if (Pick(6) == 0) Feed(node, StoreAnswered());
@@ -741,6 +770,8 @@
   FleetPaths m_paths;
   std::size_t m_last_giver = 0;
   std::map<std::size_t, Instant> m_slow_until;
+  // as each member has learnt
+  std::map<std::size_t, EvacuatedZones> m_evacuated;
   std::map<std::size_t, StoreView> m_store_views;
   std::mt19937 m_random;
   const FleetFaults m_faults;
