Tests of the watch of what operators write

Cause: the order of the reads, and which of them follow a change, had no test. Change: workers come after the evacuations; one watch; only what has changed is read again; an evacuation during a slow read of the configuration or one taken back while it is read; a store that goes away; malformed keys.

--- a/tests/unit/unit-directory_watch.cpp
+++ b/tests/unit/unit-directory_watch.cpp
@@ -1,13 +1,18 @@
-// Tests of DirectoryWatch: what it reports of the workers while it begins and ceases to read them.
+// Tests of DirectoryWatch: what it reports of the workers while it begins and ceases to read them,
+// and how it follows what operators write.
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
 #include <future>
 #include <limits>
+#include <memory>
 #include <mutex>
+#include <set>
 #include <stdexcept>
+#include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "sapphireflow/transport/clock.h"
@@ -200,3 +205,213 @@
   CHECK(reason.get_future().get() == "no such run");
   CHECK(later.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
 }
+
+namespace {
+
+// holds the reads of what operators write, and their watch, until the test answers them
+class OperatorStore : public ScriptedStore {
+ public:
+  template <class T>
+  class Calls {
+   public:
+    void Add(T done) {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      m_open.push_back(std::move(done));
+      ++m_count;
+    }
+    int count() const {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      return m_count;
+    }
+    // waits for an open call and takes it
+    T Take() {
+      REQUIRE(Await([this] {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        return !m_open.empty();
+      }));
+      std::lock_guard<std::mutex> lock(m_mutex);
+      T done = std::move(m_open.front());
+      m_open.erase(m_open.begin());
+      return done;
+    }
+
+   private:
+    mutable std::mutex m_mutex;
+    // both guarded by m_mutex
+    std::vector<T> m_open;
+    int m_count = 0;
+  };
+
+  void ReadConfiguration(Done<ConfigurationPtr> done) override {
+    configurations.Add(std::move(done));
+  }
+  void ReadEvacuations(Done<EvacuatedZones> done) override { evacuations.Add(std::move(done)); }
+  void WatchOperators(std::uint64_t after, Duration /*wait*/, OperatorsWatchDone done) override {
+    watched_after = after;
+    watches_of_operators.Add(std::move(done));
+  }
+
+  void AnswerEvacuations(std::uint64_t revision, std::set<std::string> zones) {
+    evacuations.Take()(VersionedValue<EvacuatedZones>(revision, EvacuatedZones(std::move(zones))));
+  }
+  void FailEvacuations() { evacuations.Take()(Error(ErrorId::kStoreUnavailable, "away")); }
+  void AnswerConfiguration(std::uint64_t revision) {
+    configurations.Take()(VersionedValue<ConfigurationPtr>(
+        revision, std::make_shared<const Configuration>(revision, std::vector<QueueConfig>(),
+                                                        std::vector<ServiceConfig>(), 1000)));
+  }
+  void AnswerWatch(WatchEnd end, std::uint64_t revision, bool configuration, bool evacuated) {
+    watches_of_operators.Take()(end, revision, OperatorChanges(configuration, evacuated));
+  }
+
+  Calls<Done<ConfigurationPtr>> configurations;
+  Calls<Done<EvacuatedZones>> evacuations;
+  Calls<OperatorsWatchDone> watches_of_operators;
+  std::atomic<std::uint64_t> watched_after{0};
+};
+
+// the kinds of events in their order
+class EventOrder : public Sink<DispatchEvent> {
+ public:
+  void Accept(DispatchEvent event) override {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (const auto* listed = std::get_if<EvacuationsListed>(&event)) {
+      std::string names;
+      for (const std::string& zone : listed->zones().names()) names += " " + zone;
+      m_kinds.push_back("evacuated:" + names);
+    }
+    if (std::holds_alternative<EvacuationsUnavailable>(event)) m_kinds.emplace_back("unavailable");
+    if (std::holds_alternative<ConfigurationCopy>(event)) m_kinds.emplace_back("configuration");
+    if (std::holds_alternative<WorkersListed>(event) && !std::exchange(m_has_workers, true)) {
+      m_kinds.emplace_back("workers");
+    }
+  }
+  std::vector<std::string> kinds() const {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_kinds;
+  }
+
+ private:
+  mutable std::mutex m_mutex;
+  // all below guarded by m_mutex
+  std::vector<std::string> m_kinds;
+  bool m_has_workers = false;
+};
+
+// a watch on a store that the test answers
+struct OperatorWatchTest {
+  ~OperatorWatchTest() { timers.Stop(); }
+  bool HasKinds(const std::vector<std::string>& kinds) const {
+    return Await([&] { return events.kinds() == kinds; });
+  }
+
+  const MonotonicClock clock;
+  OperatorStore store;
+  Interest interest;
+  EventOrder events;
+  NoLog log;
+  TimerThread timers{clock};
+  DirectoryWatch watch{MemberListing(NodeId(Address(1, 1), 1), "celaya", 250),
+                       store,
+                       interest,
+                       events,
+                       clock,
+                       timers,
+                       log};
+};
+
+}  // namespace
+
+// Guards against a start in an evacuated zone by a VM that has just started.
+TEST_CASE("workers are reported only after the evacuations, or after these could not be read") {
+  OperatorWatchTest test;
+  test.watch.Start();
+  CHECK(test.store.reads == 0);
+  SECTION("they are read") {
+    test.store.AnswerEvacuations(5, {"leon"});
+    CHECK(test.HasKinds({"evacuated: leon", "workers"}));
+  }
+  SECTION("the store does not answer") {
+    test.store.FailEvacuations();
+    CHECK(test.HasKinds({"unavailable", "workers"}));
+    // it is tried again, and reported as unavailable only once
+    test.store.FailEvacuations();
+    test.store.AnswerEvacuations(5, {"leon"});
+    CHECK(test.HasKinds({"unavailable", "workers", "evacuated: leon"}));
+  }
+}
+
+// Each call to the store is charged, and the configuration is large.
+TEST_CASE("one watch follows what operators write, and only what has changed is read again") {
+  OperatorWatchTest test;
+  test.watch.Start();
+  test.store.AnswerEvacuations(5, {});
+  test.store.AnswerConfiguration(7);
+  CHECK(test.store.watches_of_operators.count() == 1);
+  // a change of the configuration between the two reads is not missed
+  CHECK(test.store.watched_after == 5);
+  SECTION("nothing") {
+    test.store.AnswerWatch(WatchEnd::kUnchanged, 9, false, false);
+    CHECK(test.store.watched_after == 9);
+    CHECK(test.store.evacuations.count() == 1);
+    CHECK(test.store.configurations.count() == 1);
+  }
+  SECTION("an evacuation") {
+    test.store.AnswerWatch(WatchEnd::kChanged, 9, false, true);
+    test.store.AnswerEvacuations(11, {"leon"});
+    CHECK(test.store.configurations.count() == 1);
+    CHECK(test.store.evacuations.count() == 2);
+    CHECK(test.events.kinds().back() == "evacuated: leon");
+  }
+  SECTION("the configuration") {
+    test.store.AnswerWatch(WatchEnd::kChanged, 9, true, false);
+    test.store.AnswerConfiguration(11);
+    CHECK(test.store.configurations.count() == 2);
+    CHECK(test.store.evacuations.count() == 1);
+  }
+  SECTION("another key of the same prefix") {
+    test.store.AnswerWatch(WatchEnd::kChanged, 9, false, false);
+    CHECK(test.store.configurations.count() == 1);
+    CHECK(test.store.evacuations.count() == 1);
+  }
+  SECTION("an evacuation that is taken back while it is being read") {
+    test.store.AnswerWatch(WatchEnd::kChanged, 9, false, true);
+    test.store.AnswerWatch(WatchEnd::kChanged, 12, false, true);
+    CHECK(test.store.evacuations.count() == 2);
+    test.store.AnswerEvacuations(10, {"leon"});
+    test.store.AnswerEvacuations(13, {});
+    CHECK(test.events.kinds().back() == "evacuated:");
+    CHECK(test.store.evacuations.count() == 3);
+  }
+  SECTION("an evacuation while the configuration is being read over a slow link") {
+    test.store.AnswerWatch(WatchEnd::kChanged, 9, true, false);
+    test.store.AnswerWatch(WatchEnd::kChanged, 10, false, true);
+    test.store.AnswerEvacuations(11, {"leon"});
+    CHECK(test.events.kinds().back() == "evacuated: leon");
+  }
+  SECTION("the store goes away and returns") {
+    test.store.AnswerWatch(WatchEnd::kFailed, 9, false, false);
+    test.store.FailEvacuations();
+    // the last known evacuations stay in force
+    CHECK(test.events.kinds().back() != "unavailable");
+    test.store.AnswerEvacuations(20, {"leon"});
+    CHECK(test.store.watched_after == 20);
+    CHECK(test.store.watches_of_operators.count() == 2);
+    test.store.AnswerConfiguration(21);
+  }
+  test.timers.Stop();
+  CHECK(test.store.watches_of_operators.count() <= 3);
+}
+
+// Guards against a change that only the failed first read would have shown.
+TEST_CASE("what was read before the watch began is read again") {
+  OperatorWatchTest test;
+  test.watch.Start();
+  test.store.FailEvacuations();
+  test.store.AnswerConfiguration(7);
+  CHECK(test.store.watched_after == 7);
+  test.store.AnswerEvacuations(6, {});
+  test.store.AnswerEvacuations(9, {"leon"});
+  CHECK(test.events.kinds().back() == "evacuated: leon");
+  CHECK(test.store.watches_of_operators.count() == 1);
+}
--- a/tests/unit/unit-platform.cpp
+++ b/tests/unit/unit-platform.cpp
@@ -177,6 +177,19 @@
   CHECK(std::get_if<Error>(&broken) != nullptr);
 }
 
+TEST_CASE("the key of an evacuation names the zone, and its value does not matter") {
+  const auto zone_of = [](const std::string& key) {
+    const auto read = DecodeEvacuatedZone(StoreItem(key, "\xff not read"));
+    return std::holds_alternative<std::string>(read) ? std::get<std::string>(read) : "malformed";
+  };
+  CHECK(zone_of("op/evacuate/celaya") == "celaya");
+  CHECK(zone_of("op/evacuate/a zone/1") == "a zone/1");
+  CHECK(zone_of("op/evacuate/") == "malformed");
+  CHECK(zone_of("op/evacuate") == "malformed");
+  CHECK(zone_of("op/evacuated/celaya") == "malformed");
+  CHECK(zone_of("op/evacuate/" + std::string(201, 'z')) == "malformed");
+}
+
 TEST_CASE("orders to workers use the platform's field names") {
   const RunKey run(TaskKey(0x5c0e7a21d94b36f8ULL, 0, 1, 17), 2);
   CHECK(EncodeStart(StartRun(MakeWorkerCall(486000), run,
