--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -81,8 +81,9 @@
   return {kSlotZeroNetwork + kSlotSize * m_plan.slot + host, port};
 }
 
-std::string Fleet::ZoneOf(std::uint32_t index) const {
-  const std::uint32_t zone = index % m_plan.zones;
+std::string Fleet::ZoneOf(std::uint32_t index) const { return ZoneName(index % m_plan.zones); }
+
+std::string Fleet::ZoneName(std::uint32_t zone) {
   return zone == 0 ? "celaya" : "zone-" + std::to_string(zone + 1);
 }
 
@@ -288,6 +289,17 @@
   }
 }
 
+void Fleet::SetEvacuated(std::uint32_t zone, bool evacuated) {
+  const std::string name = ZoneName(zone);
+  // the value does not matter
+  if (evacuated) m_store.PutBytes("op/evacuate/" + name, "\xff");
+  // the workers check from the acknowledgement on, and until the key is removed
+  for (std::uint32_t i = 0; i < m_workers.size(); ++i) {
+    if (ZoneOf(i) == name) m_workers[i]->worker->SetEvacuated(evacuated);
+  }
+  if (!evacuated) m_store.Remove("op/evacuate/" + name);
+}
+
 void Fleet::ChangeConfiguration() {
   const std::uint64_t version = m_version++;
   const std::string queue = "queue-" + std::to_string(version);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -89,6 +89,8 @@
   /// @brief Writes the next version of the configuration, which adds a queue and removes the one
   /// that the previous version added, and schedules probes of the new queue.
   void ChangeConfiguration();
+  /// @brief Writes or removes the key by which operators evacuate a zone.
+  void SetEvacuated(std::uint32_t zone, bool evacuated);
   /// @brief Writes a worker's entry to the store and keeps it renewed, or removes it.
   void SetRegistered(std::size_t worker, bool registered);
 
@@ -125,6 +127,7 @@
   };
 
   std::string ZoneOf(std::uint32_t index) const;
+  static std::string ZoneName(std::uint32_t zone);
   Address SlotAddress(std::uint32_t host, std::uint16_t port) const;
   void AddWorker(std::uint32_t index);
   void AddNode(std::uint32_t index);
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -7,6 +7,7 @@
 #include <future>
 #include <iostream>
 
+#include "evacuation_schedule.h"
 #include "link_schedule.h"
 #include "mixed_schedule.h"
 #include "series_schedule.h"
@@ -15,6 +16,7 @@
 
 using sapphireflow::Duration;
 using sapphireflow::Instant;
+using sapphireflow::soak::EvacuationSchedule;
 using sapphireflow::soak::Fleet;
 using sapphireflow::soak::FleetPlan;
 using sapphireflow::soak::LinkSchedule;
@@ -73,7 +75,7 @@
   }
 }
 
-enum class ScheduleKind { kMixed, kSeries, kLinks };
+enum class ScheduleKind { kMixed, kSeries, kLinks, kEvacuations };
 
 std::unique_ptr<const Schedule> MakeSchedule(const FleetPlan& plan, ScheduleKind kind) {
   if (kind == ScheduleKind::kSeries) {
@@ -83,6 +85,10 @@
     return std::make_unique<const LinkSchedule>(plan.seed, plan.nodes, plan.workers, plan.zones,
                                                 kFaultTime);
   }
+  if (kind == ScheduleKind::kEvacuations) {
+    return std::make_unique<const EvacuationSchedule>(plan.seed, plan.nodes, plan.workers,
+                                                      plan.zones, kFaultTime);
+  }
   return std::make_unique<const MixedSchedule>(plan.seed, plan.nodes, plan.workers, kFaultTime);
 }
 
@@ -164,14 +170,16 @@
   TCLAP::SwitchArg show("v", "show", "print each step as it is executed", command);
   TCLAP::SwitchArg series("", "series", "signals, restarts and changes in series", command);
   TCLAP::SwitchArg links("", "links", "unstable links between nodes, and long jobs", command);
+  TCLAP::SwitchArg evacuations("", "evacuations", "zones that are evacuated and restored", command);
   command.parse(argc, argv);
-  if (series.getValue() && links.getValue()) {
-    std::cerr << "--series and --links exclude each other\n";
+  if (series.getValue() + links.getValue() + evacuations.getValue() > 1) {
+    std::cerr << "--series, --links and --evacuations exclude each other\n";
     return 2;
   }
-  const ScheduleKind kind = series.getValue()  ? ScheduleKind::kSeries
-                            : links.getValue() ? ScheduleKind::kLinks
-                                               : ScheduleKind::kMixed;
+  const ScheduleKind kind = series.getValue()        ? ScheduleKind::kSeries
+                            : links.getValue()       ? ScheduleKind::kLinks
+                            : evacuations.getValue() ? ScheduleKind::kEvacuations
+                                                     : ScheduleKind::kMixed;
   if (nodes.getValue() > FleetPlan::kMaxNodes || workers.getValue() > FleetPlan::kMaxWorkers) {
     std::cerr << "a slot has addresses for " << FleetPlan::kMaxNodes << " nodes and "
               << FleetPlan::kMaxWorkers << " workers\n";
--- a/tests/soak/soak_worker.cc
+++ b/tests/soak/soak_worker.cc
@@ -21,6 +21,8 @@
 // this. After a fault, the nodes have kMaxRecoveryTime to recover first.
 constexpr Duration kMaxDrainDelay = std::chrono::milliseconds(2000);
 constexpr Duration kMaxRecoveryTime = std::chrono::milliseconds(3000);
+// No run may start in an evacuated zone after this time, whatever else happens.
+constexpr Duration kMaxEvacuationDelay = std::chrono::milliseconds(5000);
 // a contact timeout and the interval at which the store shows a change
 constexpr Duration kCapacityKnownAfter = std::chrono::milliseconds(4500);
 constexpr int kMaxFuseMs = 100;
@@ -82,6 +84,11 @@
               [this, incarnation_id = m_incarnation_id] { CheckLease(incarnation_id); });
 }
 
+void SoakWorker::SetEvacuated(bool evacuated) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_evacuated_since = evacuated ? std::make_optional(m_clock.Now()) : std::nullopt;
+}
+
 void SoakWorker::SetDraining(bool draining) {
   std::lock_guard<std::mutex> lock(m_mutex);
   if (draining && !m_draining) m_draining_since = m_clock.Now();
@@ -194,6 +201,9 @@
       m_fault_tracker.NoFaultFor(kMaxRecoveryTime)) {
     m_checker.AddViolation("drain: " + task + " was started on " + m_id + ", which is draining");
   }
+  if (m_evacuated_since && m_clock.Now() - *m_evacuated_since > kMaxEvacuationDelay) {
+    m_checker.AddViolation("evacuated: " + task + " was started on " + m_id + " of " + m_zone);
+  }
   const JobPlan* plan = m_checker.Find(task.substr(0, task.find('.')));
   const bool fails = plan == nullptr || plan->poison || Chance(m_faults.failing_share);
   const Duration length =
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -57,6 +58,8 @@
   /// no hold request has acknowledged.
   void Restart();
   void SetDraining(bool draining);
+  /// @brief Whether the worker's zone is evacuated, so that nothing may start here.
+  void SetEvacuated(bool evacuated);
   /// @brief Changes the capacity that the entry states. A smaller one counts for the check only
   /// after the nodes have had time to learn of it.
   void SetCapacity(std::int64_t milli_cores);
@@ -112,6 +115,7 @@
   std::int64_t m_counted_milli_cores;
   std::uint64_t m_capacity_changes = 0;
   Instant m_draining_since{};
+  std::optional<Instant> m_evacuated_since;
   Instant m_process_start{};
   std::uint64_t m_incarnation_id = 0;
   std::uint64_t m_serial = 0;
