--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -182,6 +182,7 @@
   m_crashes.DropExpired(ctx.now);
   AnnounceCapacity(ctx);
   RelayCapacity(ctx);
+  ShowEvacuatedRuns(ctx);
 }
 
 void DispatchNode::HandleEvent(const StopPlanned& /*event*/, EventContext& ctx) {
