Drive libcurl by the sockets that are ready

Cause: the HTTP client called curl_multi_perform() in each iteration of its loop. libcurl polls the socket of each pending call there, and an owner has one long poll pending at each of its workers. In a fleet of 12 VMs and 120 workers on loopback (200 jobs/s, no fault), 8,671 of 19,144 system calls of one process in 5 s were these.

Change: the loop waits with epoll and calls curl_multi_socket_action() for the sockets that are ready and for due timers. A call that is started on the loop's own thread, as most renewals are, needs no wake-up, and calls that arrive together send one. Timeouts that are extended are still checked at least each 250 ms.

Measured: two such fleets beside each other, one process of each under strace: 19,144 system calls before, 10,564 after; of them poll 8,671 and 883, recv 2,610 and 1,835, send on sockets 1,356 and 649. CPU time per job, all 12 processes: 3.32 ms before, 3.11 ms after; in runs without strace, one after the other, 2.96 and 2.91 ms.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,15 +1,24 @@
 // Part of transport: event loops on libcurl's multi interface, each with one thread and one handle.
+// libcurl is driven by the sockets that are ready: `curl_multi_perform` would poll the socket of
+// each pending call in each iteration, and nearly all pending calls are long polls.
 #include "sapphireflow/transport/http_client.h"
 
 #include <curl/curl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <exception>
 #include <future>
+#include <map>
 #include <mutex>
 #include <new>
-#include <set>
+#include <optional>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -18,6 +27,7 @@
 namespace {
 
 constexpr int kPollMillis = 60000;
+constexpr std::size_t kEventsPerWait = 64;
 // libcurl has no timer for a timeout that was extended
 constexpr int kExtendedPollMillis = 250;
 constexpr long kConnectTimeoutMs = 1000;
@@ -34,6 +44,22 @@
 
 void InitOnce() { static const GlobalInit init; }
 
+/// Owns a file descriptor.
+class Descriptor {
+ public:
+  /// @param number negative if it could not be opened, which throws
+  explicit Descriptor(int number) : m_number(number) {
+    if (number < 0) throw std::system_error(errno, std::generic_category(), "event loop");
+  }
+  ~Descriptor() { close(m_number); }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  int number() const { return m_number; }
+
+ private:
+  const int m_number;
+};
+
 }  // namespace
 
 /// An event loop: one thread with its multi handle. Calls enter through a queue guarded by a lock.
@@ -42,6 +68,11 @@
   explicit Loop(OnFailure on_failure)
       : m_multi(curl_multi_init()), m_on_failure(std::move(on_failure)) {
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxConnections);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Loop::OnSocketWanted);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Loop::OnTimerWanted);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    WatchSocket(m_wakeup.number(), EPOLLIN);
     m_thread = std::thread([this] { Run(); });
   }
 
@@ -58,7 +89,9 @@
       std::lock_guard<std::mutex> lock(m_mutex);
       if (!m_stopping) {
         m_queued_transfers.push_back(std::make_unique<Transfer>(call, std::move(done)));
-        curl_multi_wakeup(m_multi);
+        // the loop's thread reads the queue before it waits, and one wake-up is enough for all
+        const bool is_first = m_queued_transfers.size() == 1;
+        if (is_first && std::this_thread::get_id() != m_thread.get_id()) WakeUp();
         return;
       }
     }
@@ -70,7 +103,7 @@
       std::lock_guard<std::mutex> lock(m_mutex);
       m_stopping = true;
     }
-    curl_multi_wakeup(m_multi);
+    WakeUp();
     if (m_thread.joinable()) m_thread.join();
   }
 
@@ -102,6 +135,50 @@
     return size * count;
   }
 
+  void WakeUp() const { eventfd_write(m_wakeup.number(), 1); }
+
+  static int OnSocketWanted(CURL* easy, curl_socket_t socket, int what, void* user,
+                            void* /*socket_data*/) {
+    auto* loop = static_cast<Loop*>(user);
+    const auto found = loop->m_extensible.find(easy);
+    if (found != loop->m_extensible.end()) {
+      found->second = what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : socket;
+    }
+    if (what == CURL_POLL_REMOVE) {
+      loop->IgnoreSocket(socket);
+      return 0;
+    }
+    std::uint32_t events = 0;
+    if ((what & CURL_POLL_IN) != 0) events |= EPOLLIN;
+    if ((what & CURL_POLL_OUT) != 0) events |= EPOLLOUT;
+    loop->WatchSocket(socket, events);
+    return 0;
+  }
+
+  static int OnTimerWanted(CURLM* /*multi*/, long millis, void* user) {
+    auto* loop = static_cast<Loop*>(user);
+    if (millis < 0) {
+      loop->m_timer_at.reset();
+    } else {
+      loop->m_timer_at = std::chrono::steady_clock::now() + std::chrono::milliseconds(millis);
+    }
+    return 0;
+  }
+
+  void WatchSocket(int socket, std::uint32_t events) const {
+    epoll_event wanted{};
+    wanted.events = events;
+    wanted.data.fd = socket;
+    const int number = m_epoll.number();
+    if (epoll_ctl(number, EPOLL_CTL_MOD, socket, &wanted) != 0) {
+      epoll_ctl(number, EPOLL_CTL_ADD, socket, &wanted);
+    }
+  }
+
+  void IgnoreSocket(int socket) const {
+    epoll_ctl(m_epoll.number(), EPOLL_CTL_DEL, socket, nullptr);
+  }
+
   CURL* AcquireHandle() {
     if (m_idle_handles.empty()) return curl_easy_init();
     CURL* easy = m_idle_handles.back();
@@ -122,7 +199,7 @@
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxConnectionIdleSeconds);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToCurlMillis(call.timeout()));
     transfer->started_at = std::chrono::steady_clock::now();
-    if (call.max_timeout() > call.timeout()) m_extensible.insert(easy);
+    if (call.max_timeout() > call.timeout()) m_extensible.emplace(easy, CURL_SOCKET_BAD);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Loop::OnReceive);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
     if (call.method() != "GET") {
@@ -157,7 +234,7 @@
   // restarts the timeout of calls whose response has grown; returns whether any is extended
   bool ExtendTimeouts() {
     bool any_extended = false;
-    for (CURL* easy : m_extensible) {
+    for (const auto& [easy, socket] : m_extensible) {
       Transfer& transfer = *m_running.at(easy);
       if (transfer.received.size() > transfer.extended_at_size) {
         transfer.extended_at_size = transfer.received.size();
@@ -172,6 +249,15 @@
     return any_extended;
   }
 
+  // makes libcurl check the timeouts that were extended
+  void CheckExtendedTimeouts() {
+    // libcurl only marks transfers as ended here, so that no entry is removed
+    for (const auto& [easy, socket] : m_extensible) {
+      if (m_running.at(easy)->extended_at_size == 0) continue;
+      if (socket != CURL_SOCKET_BAD) RunTransfersOf(socket, 0);
+    }
+  }
+
   static HttpResult ResultOf(CURL* easy, CURLcode code, Transfer* transfer) {
     if (code == CURLE_OK) {
       long status = 0;
@@ -230,16 +316,67 @@
     return true;
   }
 
+  void RunTransfersOf(curl_socket_t socket, int ready) {
+    int running = 0;
+    curl_multi_socket_action(m_multi, socket, ready, &running);
+  }
+
+  void RunDueTimers() {
+    if (!m_timer_at || std::chrono::steady_clock::now() < *m_timer_at) return;
+    m_timer_at.reset();
+    RunTransfersOf(CURL_SOCKET_TIMEOUT, 0);
+  }
+
+  // rounded up, so that a timer is due when the wait ends
+  int WaitMillis(bool any_extended) const {
+    const int longest = any_extended ? kExtendedPollMillis : kPollMillis;
+    if (!m_timer_at) return longest;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+        *m_timer_at - std::chrono::steady_clock::now());
+    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, longest));
+  }
+
+  void WaitForEvents() {
+    const bool any_extended = ExtendTimeouts();
+    std::array<epoll_event, kEventsPerWait> events{};
+    const int count = epoll_wait(m_epoll.number(), events.data(), static_cast<int>(events.size()),
+                                 WaitMillis(any_extended));
+    for (int i = 0; i < count; ++i) {
+      const epoll_event& event = events[static_cast<std::size_t>(i)];
+      if (event.data.fd == m_wakeup.number()) {
+        eventfd_t ignored = 0;
+        eventfd_read(m_wakeup.number(), &ignored);
+        continue;
+      }
+      // on an error without data, libcurl reads the state of the socket itself
+      int ready = 0;
+      if ((event.events & EPOLLIN) != 0) ready |= CURL_CSELECT_IN;
+      if ((event.events & EPOLLOUT) != 0) ready |= CURL_CSELECT_OUT;
+      RunTransfersOf(event.data.fd, ready);
+    }
+    if (any_extended) CheckExtendedTimeouts();
+  }
+
+  void EndCompleted() {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
+      if (message->msg == CURLMSG_DONE) EndTransfer(message->easy_handle, message->data.result);
+    }
+  }
+
+  bool HasQueued() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_stopping || !m_queued_transfers.empty();
+  }
+
   void Run() {
     while (StartQueued()) {
-      int running = 0;
-      curl_multi_perform(m_multi, &running);
-      int left = 0;
-      while (const CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
-        if (message->msg == CURLMSG_DONE) EndTransfer(message->easy_handle, message->data.result);
-      }
-      const int poll_millis = ExtendTimeouts() ? kExtendedPollMillis : kPollMillis;
-      curl_multi_poll(m_multi, nullptr, 0, poll_millis, nullptr);
+      RunDueTimers();
+      EndCompleted();
+      // a completed call has often started the next one, for which no wake-up was sent
+      if (HasQueued()) continue;
+      WaitForEvents();
+      EndCompleted();
     }
     while (!m_running.empty()) EndTransfer(m_running.begin()->first, CURLE_ABORTED_BY_CALLBACK);
     std::vector<std::unique_ptr<Transfer>> added;
@@ -252,6 +389,8 @@
     }
   }
 
+  const Descriptor m_epoll{epoll_create1(EPOLL_CLOEXEC)};
+  const Descriptor m_wakeup{eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)};
   CURLM* m_multi;
   const OnFailure m_on_failure;
   std::mutex m_mutex;
@@ -260,9 +399,11 @@
   bool m_stopping = false;
   // used by the loop's thread only
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> m_running;
-  // those of them whose timeout may be extended
-  std::set<CURL*> m_extensible;
+  // those of them whose timeout may be extended, with their sockets
+  std::map<CURL*, curl_socket_t> m_extensible;
   std::vector<CURL*> m_idle_handles;
+  // when libcurl has to be told that its timer is due
+  std::optional<std::chrono::steady_clock::time_point> m_timer_at;
   std::thread m_thread;
 };
 
