Enforce the ingress limits where the HTTP server reads bytes

RESTinio gets a socket type of ours: before a read reaches its parser, a scanner with the same parser measures the request, and the gate asks the budget. A refused client gets 413, 431, 408 or 503 as far as it can still be sent; small refused requests are read on for up to 1 MiB so that the answer is not lost to a reset. Requests that take too long are closed by the service's tick; no timer is added. The body limit is the configuration's as soon as there is one. Answers count until written.

The peers' listener and sapphireflow-entry are not limited yet.

--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -76,7 +76,8 @@
   sapphireflow::DispatchService service(
       sapphireflow::DispatchServiceOptions(
           settings.zone(), settings.milli_cores(), addresses.callers(), addresses.readiness(),
-          addresses.peers(), addresses.peer_listener(), settings.stop_grace(), metrics_address),
+          addresses.peers(), addresses.peer_listener(), settings.stop_grace(), metrics_address,
+          settings.ingress()),
       sapphireflow::DispatchSettings(settings.lease_limits(), settings.drain_timeout(),
                                      settings.remote_factor(), "least-slack", "slowest-sufficient",
                                      "consecutive-failures"),
--- a/include/sapphireflow/transport/dispatch_service.h
+++ b/include/sapphireflow/transport/dispatch_service.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "sapphireflow/admission/ingress_limits.h"
 #include "sapphireflow/observe/event_log.h"
 #include "sapphireflow/routing/dispatch_node.h"
 #include "sapphireflow/transport/dispatch_runner.h"
@@ -22,7 +23,7 @@
   DispatchServiceOptions(std::string zone, std::uint32_t milli_cores, const Address& callers,
                          const Address& readiness, const Address& peers,
                          const Address& peer_listener, Duration stop_grace,
-                         const std::optional<Address>& metrics)
+                         const std::optional<Address>& metrics, const IngressLimits& ingress)
       : m_zone(std::move(zone)),
         m_milli_cores(milli_cores),
         m_callers(callers),
@@ -30,7 +31,8 @@
         m_peers(peers),
         m_peer_listener(peer_listener),
         m_stop_grace(stop_grace),
-        m_metrics(metrics) {}
+        m_metrics(metrics),
+        m_ingress(ingress) {}
   const std::string& zone() const { return m_zone; }
   /// @brief CPU share of this VM, in thousandths of a core (millicores).
   std::uint32_t milli_cores() const { return m_milli_cores; }
@@ -45,9 +47,11 @@
   Duration stop_grace() const { return m_stop_grace; }
   /// @brief Address that serves the metrics; if not set, they are not served.
   const std::optional<Address>& metrics() const { return m_metrics; }
+  /// @brief Limits on clients of all listeners.
+  const IngressLimits& ingress() const { return m_ingress; }
   auto Fields() const {
     return std::tie(m_zone, m_milli_cores, m_callers, m_readiness, m_peers, m_peer_listener,
-                    m_stop_grace, m_metrics);
+                    m_stop_grace, m_metrics, m_ingress);
   }
 
  private:
@@ -59,6 +63,7 @@
   Address m_peer_listener;
   Duration m_stop_grace;
   std::optional<Address> m_metrics;
+  IngressLimits m_ingress;
 };
 
 /// @brief Runs one dispatch node until it is stopped.
--- a/include/sapphireflow/transport/http.h
+++ b/include/sapphireflow/transport/http.h
@@ -91,6 +91,10 @@
  public:
   virtual ~HttpHandler() = default;
   virtual void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) = 0;
+  /// @brief Limit of a request's body that is in force now. Servers with limits refuse larger ones
+  /// before they are read.
+  virtual std::size_t max_body_bytes() const { return kDefaultMaxBodyBytes; }
+  static constexpr std::size_t kDefaultMaxBodyBytes = 1U << 20;
 };
 
 /// @brief An outgoing request to another process.
--- a/include/sapphireflow/transport/http_server.h
+++ b/include/sapphireflow/transport/http_server.h
@@ -7,6 +7,7 @@
 
 #include "sapphireflow/model/error.h"
 #include "sapphireflow/transport/http.h"
+#include "sapphireflow/transport/ingress_gate.h"
 
 namespace sapphireflow {
 
@@ -14,7 +15,10 @@
 class HttpServer {
  public:
   /// @param handler must outlive the server
-  HttpServer(const Address& address, int threads, HttpHandler& handler);
+  /// @param gate limits what clients make the process hold; must outlive the server; null for
+  /// servers whose clients are trusted
+  HttpServer(const Address& address, int threads, HttpHandler& handler, IngressGate* gate = nullptr,
+             IngressListener listener = IngressListener::kCallers);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/include/sapphireflow/transport/metrics_page.h
+++ b/include/sapphireflow/transport/metrics_page.h
@@ -6,6 +6,7 @@
 
 #include "sapphireflow/observe/metrics.h"
 #include "sapphireflow/transport/http.h"
+#include "sapphireflow/transport/ingress_gate.h"
 
 namespace sapphireflow {
 
@@ -13,11 +14,14 @@
 class MetricsPage : public HttpHandler {
  public:
   /// @param metrics must outlive the page
-  explicit MetricsPage(const Metrics& metrics) : m_metrics(metrics) {}
+  /// @param gate whose state is rendered as well; null if there is none; must outlive the page
+  explicit MetricsPage(const Metrics& metrics, const IngressGate* gate = nullptr)
+      : m_metrics(metrics), m_gate(gate) {}
   void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) override;
 
  private:
   const Metrics& m_metrics;
+  const IngressGate* const m_gate;
 };
 
 }  // namespace sapphireflow
--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -24,6 +24,7 @@
 constexpr Duration kShutdownReserve = std::chrono::milliseconds(700);
 // time for responses already passed to the sockets to be sent
 constexpr Duration kFlushTime = std::chrono::milliseconds(150);
+constexpr char kEvictionOrder[] = "held-longest";
 // not secret: members find each other through the platform's store, which only the system's own
 // processes can write
 constexpr char kPeerKey[] = "sapphireflow";
@@ -37,7 +38,8 @@
        Metrics& metrics, EventLog& log)
       : m_service_options(service_options),
         m_log(log),
-        m_metrics_page(metrics),
+        m_gate(service_options.ingress(), kEvictionOrder, m_clock, metrics, log),
+        m_metrics_page(metrics, &m_gate),
         m_self(service_options.peers(), NewIncarnation(m_clock.Now())),
         m_listing(m_self, service_options.zone(), service_options.milli_cores()),
         m_node(m_listing, settings),
@@ -59,8 +61,10 @@
   PendingReplies& replies() { return m_replies; }
 
   std::optional<Error> Start(HttpHandler& callers, HttpHandler& readiness) {
-    m_callers = std::make_unique<HttpServer>(m_service_options.callers(), 1, callers);
-    m_readiness = std::make_unique<HttpServer>(m_service_options.readiness(), 1, readiness);
+    m_callers = std::make_unique<HttpServer>(m_service_options.callers(), 1, callers, &m_gate,
+                                             IngressListener::kCallers);
+    m_readiness = std::make_unique<HttpServer>(m_service_options.readiness(), 1, readiness, &m_gate,
+                                               IngressListener::kReadiness);
     if (auto error = m_links.Start()) return error;
     if (auto error = m_readiness->Start()) return error;
     if (auto error = m_callers->Start()) return error;
@@ -115,7 +119,8 @@
   void StartMetrics() {
     const auto& address = m_service_options.metrics();
     if (!address) return;
-    m_metrics_server = std::make_unique<HttpServer>(*address, 1, m_metrics_page);
+    m_metrics_server = std::make_unique<HttpServer>(*address, 1, m_metrics_page, &m_gate,
+                                                    IngressListener::kMetrics);
     if (const auto error = m_metrics_server->Start()) {
       m_log.Write(LogEvent(
           LogLevel::kWarning, "metrics_not_served",
@@ -126,6 +131,7 @@
 
   void ScheduleNextTick() {
     m_runner.Accept(DispatchTick());
+    m_gate.Sweep();
     m_timers.At(m_clock.Now() + kTick, [this] { ScheduleNextTick(); });
   }
 
@@ -145,8 +151,10 @@
 
   const DispatchServiceOptions m_service_options;
   EventLog& m_log;
-  MetricsPage m_metrics_page;
   const MonotonicClock m_clock;
+  // outlives the servers and their requests
+  IngressGate m_gate;
+  MetricsPage m_metrics_page;
   const NodeId m_self;
   const MemberListing m_listing;
   PendingReplies m_replies;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -14,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "sapphireflow/transport/detail/guarded_socket.h"
+
 namespace sapphireflow {
 namespace {
 
@@ -70,6 +72,25 @@
 
 struct Traits : public restinio::default_traits_t {
   using connection_state_listener_t = ConnectionCloseListener;
+  using stream_socket_t = detail::GuardedSocket;
+};
+
+/// What a request holds of the limits, until it is destroyed.
+class IngressTicket {
+ public:
+  /// @param connection null if there are no limits
+  explicit IngressTicket(IngressConnectionPtr connection) : m_connection(std::move(connection)) {}
+  ~IngressTicket() {
+    if (m_connection) m_connection->gate().Answered(*m_connection);
+  }
+  IngressTicket(const IngressTicket&) = delete;
+  IngressTicket& operator=(const IngressTicket&) = delete;
+  void HoldAnswer(std::size_t bytes) {
+    if (m_connection) m_connection->gate().HoldAnswer(*m_connection, bytes);
+  }
+
+ private:
+  const IngressConnectionPtr m_connection;
 };
 
 class Responder : public HttpResponder, public std::enable_shared_from_this<Responder> {
@@ -77,7 +98,8 @@
   /// @param keep_alive_disabled whether connections are closed after their next response
   Responder(restinio::request_handle_t request, ConnectionCloseListener& close_listener,
             const std::atomic<bool>& keep_alive_disabled)
-      : m_request(std::move(request)),
+      : m_ticket(std::make_shared<IngressTicket>(detail::CurrentConnection::Get())),
+        m_request(std::move(request)),
         m_close_listener(close_listener),
         m_keep_alive_disabled(keep_alive_disabled) {}
 
@@ -90,7 +112,9 @@
     for (const auto& [name, value] : response.headers()) builder.append_header(name, value);
     if (m_keep_alive_disabled) builder.connection_close();
     builder.set_body(response.body());
-    builder.done();
+    m_ticket->HoldAnswer(response.body().size());
+    // the answer is held until it has been written
+    builder.done([ticket = std::move(m_ticket)](const auto& /*error*/) {});
   }
 
   void Abort() override {
@@ -109,6 +133,7 @@
   }
 
  private:
+  std::shared_ptr<IngressTicket> m_ticket;
   restinio::request_handle_t m_request;
   ConnectionCloseListener& m_close_listener;
   const std::atomic<bool>& m_keep_alive_disabled;
@@ -155,8 +180,10 @@
 
 class HttpServer::Impl {
  public:
-  Impl(const Address& address, int threads, HttpHandler& handler)
+  Impl(const Address& address, int threads, HttpHandler& handler, IngressGate* gate,
+       IngressListener listener)
       : m_thread_count(threads),
+        m_ingress(MakeIngress(m_context, gate, listener, handler)),
         m_server(restinio::external_io_context(m_context),
                  [&](restinio::server_settings_t<Traits>& settings) {
                    settings.address(address.host())
@@ -206,17 +233,28 @@
   }
 
  private:
+  static const detail::IngressContext& MakeIngress(asio::io_context& context, IngressGate* gate,
+                                                   IngressListener listener,
+                                                   const HttpHandler& handler) {
+    auto& ingress = asio::use_service<detail::IngressContext>(context);
+    ingress.Set(gate, listener, handler);
+    return ingress;
+  }
+
   const int m_thread_count;
   const std::shared_ptr<ConnectionCloseListener> m_close_listener =
       std::make_shared<ConnectionCloseListener>();
   std::atomic<bool> m_keep_alive_disabled{false};
   asio::io_context m_context;
+  // owned by m_context; set before the server makes its first sockets
+  const detail::IngressContext& m_ingress;
   restinio::http_server_t<Traits> m_server;
   std::vector<std::thread> m_threads;
 };
 
-HttpServer::HttpServer(const Address& address, int threads, HttpHandler& handler)
-    : m_impl(std::make_unique<Impl>(address, threads, handler)) {}
+HttpServer::HttpServer(const Address& address, int threads, HttpHandler& handler, IngressGate* gate,
+                       IngressListener listener)
+    : m_impl(std::make_unique<Impl>(address, threads, handler, gate, listener)) {}
 
 HttpServer::~HttpServer() = default;
 
