--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -79,13 +79,16 @@
           addresses.peers(), addresses.peer_listener(), settings.stop_grace(), metrics_address),
       sapphireflow::DispatchSettings(settings.lease_limits(), settings.drain_timeout(),
                                      settings.remote_factor(), "least-slack", "slowest-sufficient",
-                                     "consecutive-failures"),
+                                     "consecutive-failures", settings.overload_control()),
       store, workers, format, metrics, log);
+  http.MeasureDelay(service.overload().Listener(sapphireflow::EventLoop::kCalls));
   sapphireflow::platform::JobHttpHandler callers(service.node(), service.events(),
-                                                 service.replies(), format);
+                                                 service.replies(), format, service.overload());
   sapphireflow::platform::ReadinessHttpHandler readiness(service.node());
   if (const auto error = service.Start(callers, readiness)) {
     std::cerr << error->code() << " " << error->message() << "\n";
+    // the client's threads refer to the service
+    http.Stop();
     return kStartFailed;
   }
   WaitForStop(signals, file, log);
--- a/include/sapphireflow/model/error.h
+++ b/include/sapphireflow/model/error.h
@@ -33,6 +33,7 @@
   kLimitReached = 2009,
   kNotBuilt = 2010,
   kNoConfiguration = 2011,
+  kOverloaded = 2012,
   // failures: the answer states the fate of each task, except for kHomeGone
   kDeadlinePassed = 3001,
   kTaskFailed = 3002,
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -43,6 +43,8 @@
   bool Ready() const { return configuration() && !m_draining && m_capacity.HasWorkers(); }
   /// @return the configuration in force, or null if there is none yet.
   ConfigurationPtr configuration() const { return m_configuration.current(); }
+  /// @brief Whether this VM coordinates the job or has answered it lately. Complexity: constant.
+  bool KnowsJob(JobKey key) const { return m_jobs[JobShardOf(key)]->Knows(key); }
   /// @brief Whether this VM must read the list of workers from the platform's store itself, because
   /// it passes the list on, or nobody passes it on to this VM.
   bool ReadsWorkers(Instant now) const {
--- a/include/sapphireflow/transport/dispatch_service.h
+++ b/include/sapphireflow/transport/dispatch_service.h
@@ -11,6 +11,7 @@
 #include "sapphireflow/routing/dispatch_node.h"
 #include "sapphireflow/transport/dispatch_runner.h"
 #include "sapphireflow/transport/http.h"
+#include "sapphireflow/transport/overload_monitor.h"
 #include "sapphireflow/transport/pending_replies.h"
 #include "sapphireflow/transport/platform_ports.h"
 
@@ -76,6 +77,7 @@
   const DispatchNode& node() const;
   Sink<DispatchEvent>& events();
   PendingReplies& replies();
+  OverloadMonitor& overload();
 
   /// @param callers, readiness request handlers; must stay valid until the service has stopped
   /// @return no value once the service accepts requests, otherwise the error that prevented it.
--- a/include/sapphireflow/transport/http_client.h
+++ b/include/sapphireflow/transport/http_client.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "sapphireflow/transport/http.h"
+#include "sapphireflow/transport/overload_monitor.h"
 
 namespace sapphireflow {
 
@@ -29,6 +30,9 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   void Start(const HttpCall& call, Done done);
+  /// @brief Reports how long calls wait until a loop starts them. `on_delay` must stay valid until
+  /// the client has stopped.
+  void MeasureDelay(const OnLoopDelay& on_delay);
   /// @return `text` with all that has a meaning in a query percent-encoded.
   static std::string EscapeQuery(const std::string& text);
   /// @brief Makes a call and blocks until it has completed.
--- a/include/sapphireflow/transport/http_server.h
+++ b/include/sapphireflow/transport/http_server.h
@@ -7,6 +7,7 @@
 
 #include "sapphireflow/model/error.h"
 #include "sapphireflow/transport/http.h"
+#include "sapphireflow/transport/overload_monitor.h"
 
 namespace sapphireflow {
 
@@ -19,6 +20,8 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /// @brief Reports the delay of the server's loop from its start on.
+  void MeasureDelay(OnLoopDelay on_delay);
   /// @return no value once the server listens, otherwise the error that prevented it.
   std::optional<Error> Start();
   /// @brief Closes each connection after its next response from now on.
--- a/include/sapphireflow/transport/peer_links.h
+++ b/include/sapphireflow/transport/peer_links.h
@@ -8,6 +8,7 @@
 
 #include "sapphireflow/model/address.h"
 #include "sapphireflow/model/error.h"
+#include "sapphireflow/transport/overload_monitor.h"
 
 namespace sapphireflow {
 
@@ -32,6 +33,8 @@
   PeerLinks(const PeerLinks&) = delete;
   PeerLinks& operator=(const PeerLinks&) = delete;
 
+  /// @brief Reports the delay of the links' loop from its start on.
+  void MeasureDelay(OnLoopDelay on_delay);
   std::optional<Error> Start();
   /// @brief Sends a message and opens a link first if there is none. Never blocks: messages are
   /// queued while the link is being opened, and dropped when the queue is full.
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -105,6 +105,11 @@
       m_jobs.begin(), m_jobs.end(), [](const auto& item) { return !item.second.callers.empty(); }));
 }
 
+bool JobShard::Knows(JobKey key) const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return m_jobs.count(key) > 0 || m_finished.count(key) > 0;
+}
+
 std::size_t JobShard::WaitingJobs(const std::string& queue) const {
   std::lock_guard<std::mutex> lock(m_mutex);
   return static_cast<std::size_t>(
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -36,9 +36,17 @@
     return m_shards[std::hash<std::thread::id>()(std::this_thread::get_id()) % kShards];
   }
   const std::array<Shard, kShards>& shards() const { return m_shards; }
+  // Not sharded: the last value set by any thread holds.
+  struct Gauges {
+    mutable std::mutex mutex;
+    // invariant: guarded by mutex
+    std::map<CounterKey, double> values;
+  };
+  Gauges& gauges() { return m_gauges; }
 
  private:
   std::array<Shard, kShards> m_shards;
+  Gauges m_gauges;
 };
 
 Metrics::Metrics() : m_impl(std::make_unique<Impl>()) {}
@@ -51,6 +59,13 @@
   shard.counters[CounterKey(name, label, value)] += by;
 }
 
+void Metrics::SetGauge(const std::string& name, const std::string& label, const std::string& value,
+                       double number) {
+  Impl::Gauges& gauges = m_impl->gauges();
+  std::lock_guard<std::mutex> lock(gauges.mutex);
+  gauges.values[CounterKey(name, label, value)] = number;
+}
+
 void Metrics::RecordResponse(const std::string& kind, Duration response) {
   Impl::Shard& shard = m_impl->ShardOfThisThread();
   std::lock_guard<std::mutex> lock(shard.mutex);
@@ -71,6 +86,14 @@
     text << "sapphireflow_" << std::get<0>(key) << "{" << std::get<1>(key) << "=\""
          << std::get<2>(key) << "\"} " << count << "\n";
   }
+  {
+    const Impl::Gauges& gauges = m_impl->gauges();
+    std::lock_guard<std::mutex> lock(gauges.mutex);
+    for (const auto& [key, number] : gauges.values) {
+      text << "sapphireflow_" << std::get<0>(key) << "{" << std::get<1>(key) << "=\""
+           << std::get<2>(key) << "\"} " << number << "\n";
+    }
+  }
   for (const auto& [kind, distribution] : responses) {
     for (const double quantile : kQuantiles) {
       text << "sapphireflow_response_ms{kind=\"" << kind << "\",quantile=\"" << quantile << "\"} "
--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -41,6 +41,8 @@
         m_self(service_options.peers(), NewIncarnation(m_clock.Now())),
         m_listing(m_self, service_options.zone(), service_options.milli_cores()),
         m_node(m_listing, settings),
+        m_overload(MakeOverloadController(settings.overload_control()),
+                   service_options.milli_cores(), m_clock, metrics, log),
         m_timers(m_clock,
                  [&log](const std::string& reason) {
                    log.Write(LogEvent(LogLevel::kError, "timer_failed", {{"why", reason}}));
@@ -57,10 +59,13 @@
   const DispatchNode& node() const { return m_node; }
   Sink<DispatchEvent>& events() { return m_runner; }
   PendingReplies& replies() { return m_replies; }
+  OverloadMonitor& overload() { return m_overload; }
 
   std::optional<Error> Start(HttpHandler& callers, HttpHandler& readiness) {
     m_callers = std::make_unique<HttpServer>(m_service_options.callers(), 1, callers);
     m_readiness = std::make_unique<HttpServer>(m_service_options.readiness(), 1, readiness);
+    m_callers->MeasureDelay(m_overload.Listener(EventLoop::kCallers));
+    m_links.MeasureDelay(m_overload.Listener(EventLoop::kPeers));
     if (auto error = m_links.Start()) return error;
     if (auto error = m_readiness->Start()) return error;
     if (auto error = m_callers->Start()) return error;
@@ -70,7 +75,7 @@
                           {"callers", m_service_options.callers().text()},
                           {"member", m_self.text()}}));
     m_directory.Start();
-    ScheduleNextTick();
+    ScheduleNextTick(m_clock.Now());
     return std::nullopt;
   }
 
@@ -124,9 +129,13 @@
     }
   }
 
-  void ScheduleNextTick() {
+  // @param due when this tick was due
+  void ScheduleNextTick(Instant due) {
+    m_on_tick_delay(m_clock.Now() - due);
+    m_overload.OnTick();
     m_runner.Accept(DispatchTick());
-    m_timers.At(m_clock.Now() + kTick, [this] { ScheduleNextTick(); });
+    const Instant next = m_clock.Now() + kTick;
+    m_timers.At(next, [this, next] { ScheduleNextTick(next); });
   }
 
   void WaitOnTimer(Duration length) {
@@ -151,6 +160,8 @@
   const MemberListing m_listing;
   PendingReplies m_replies;
   DispatchNode m_node;
+  OverloadMonitor m_overload;
+  const OnLoopDelay m_on_tick_delay = m_overload.Listener(EventLoop::kTimers);
   TimerThread m_timers;
   ForwardingListener m_listener;
   PeerLinks m_links;
@@ -175,6 +186,8 @@
 Sink<DispatchEvent>& DispatchService::events() { return m_impl->events(); }
 PendingReplies& DispatchService::replies() { return m_impl->replies(); }
 
+OverloadMonitor& DispatchService::overload() { return m_impl->overload(); }
+
 std::optional<Error> DispatchService::Start(HttpHandler& callers, HttpHandler& readiness) {
   return m_impl->Start(callers, readiness);
 }
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -53,6 +53,11 @@
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
+  void MeasureDelay(const OnLoopDelay& on_delay) {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_on_delay = on_delay;
+  }
+
   void Add(const HttpCall& call, Done done) {
     {
       std::lock_guard<std::mutex> lock(m_mutex);
@@ -213,12 +218,16 @@
 
   bool StartQueued() {
     std::vector<std::unique_ptr<Transfer>> added;
+    OnLoopDelay on_delay;
     {
       std::lock_guard<std::mutex> lock(m_mutex);
       if (m_stopping) return false;
       added.swap(m_queued_transfers);
+      if (!added.empty()) on_delay = m_on_delay;
     }
     const auto now = std::chrono::steady_clock::now();
+    // the first one has waited longest
+    if (on_delay) on_delay(std::chrono::duration_cast<Duration>(now - added.front()->queued_at));
     for (auto& transfer : added) {
       // the caller assumes that the request was sent within its timeout, or not at all
       if (now - transfer->queued_at >= transfer->call.timeout()) {
@@ -258,6 +267,7 @@
   // guarded by m_mutex
   std::vector<std::unique_ptr<Transfer>> m_queued_transfers;
   bool m_stopping = false;
+  OnLoopDelay m_on_delay;
   // used by the loop's thread only
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> m_running;
   // those of them whose timeout may be extended
@@ -278,6 +288,10 @@
   m_loops[index]->Add(call, std::move(done));
 }
 
+void HttpClient::MeasureDelay(const OnLoopDelay& on_delay) {
+  for (const auto& loop : m_loops) loop->MeasureDelay(on_delay);
+}
+
 std::string HttpClient::EscapeQuery(const std::string& text) {
   InitOnce();
   const std::unique_ptr<char, decltype(&curl_free)> escaped(
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -14,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "loop_delay_probe.h"
+
 namespace sapphireflow {
 namespace {
 
@@ -189,12 +191,15 @@
     } catch (const std::exception& problem) {
       return Error(ErrorId::kIo, std::string("cannot listen for HTTP requests: ") + problem.what());
     }
+    if (m_probe) m_probe->Start();
     for (int i = 0; i < m_thread_count; ++i) {
       m_threads.emplace_back([this] { m_context.run(); });
     }
     return std::nullopt;
   }
 
+  void MeasureDelay(OnLoopDelay on_delay) { m_probe.emplace(m_context, std::move(on_delay)); }
+
   void DisableKeepAlive() { m_keep_alive_disabled = true; }
 
   void Stop() {
@@ -211,6 +216,7 @@
       std::make_shared<ConnectionCloseListener>();
   std::atomic<bool> m_keep_alive_disabled{false};
   asio::io_context m_context;
+  std::optional<LoopDelayProbe> m_probe;
   restinio::http_server_t<Traits> m_server;
   std::vector<std::thread> m_threads;
 };
@@ -220,6 +226,8 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::MeasureDelay(OnLoopDelay on_delay) { m_impl->MeasureDelay(std::move(on_delay)); }
+
 std::optional<Error> HttpServer::Start() { return m_impl->Start(); }
 
 void HttpServer::DisableKeepAlive() { m_impl->DisableKeepAlive(); }
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -15,6 +15,8 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "loop_delay_probe.h"
+
 namespace sapphireflow {
 namespace {
 
@@ -47,6 +49,8 @@
 
   ~Impl() { Stop(); }
 
+  void MeasureDelay(OnLoopDelay on_delay) { m_probe.emplace(m_context, std::move(on_delay)); }
+
   std::optional<Error> Start() {
     try {
       SetUpServer();
@@ -57,6 +61,7 @@
     } catch (const std::exception& problem) {
       return Error(ErrorId::kIo, std::string("cannot listen for peers: ") + problem.what());
     }
+    if (m_probe) m_probe->Start();
     constexpr int kThreads = 2;
     for (int i = 0; i < kThreads; ++i) m_threads.emplace_back([this] { m_context.run(); });
     return std::nullopt;
@@ -199,6 +204,7 @@
   const std::string m_authorization;
   PeerListener& m_listener;
   websocketpp::lib::asio::io_service m_context;
+  std::optional<LoopDelayProbe> m_probe;
   Server m_server;
   Client m_client;
   std::mutex m_mutex;
@@ -212,6 +218,8 @@
 
 PeerLinks::~PeerLinks() = default;
 
+void PeerLinks::MeasureDelay(OnLoopDelay on_delay) { m_impl->MeasureDelay(std::move(on_delay)); }
+
 std::optional<Error> PeerLinks::Start() { return m_impl->Start(); }
 
 void PeerLinks::Send(const Address& to, const std::string& bytes) { m_impl->Send(to, bytes); }
