Overload control: overdue samples, the end of a burst, priority 0 last

Cause: at 4 times the load the samples came so late that the first version dropped them as stale and never refused; at 8 % below the capacity it refused 5 % of the jobs. Change: a probe that is overdue counts after a late one, the share follows the load down when a burst ends, one interval over the target refuses nobody, and priority 0 is refused only after the others have been refused for 10 steps.

--- a/include/sapphireflow/admission/overload_controller.h
+++ b/include/sapphireflow/admission/overload_controller.h
@@ -24,18 +24,21 @@
 /// @brief How late a loop handled an event that was due.
 class LoopDelaySample : public Comparable<LoopDelaySample> {
  public:
-  LoopDelaySample(EventLoop loop, Duration delay, Instant at)
-      : m_loop(loop), m_delay(delay), m_at(at) {}
+  LoopDelaySample(EventLoop loop, Duration delay, Instant at, Instant next_due = kNever)
+      : m_loop(loop), m_delay(delay), m_at(at), m_next_due(next_due) {}
   EventLoop loop() const { return m_loop; }
   Duration delay() const { return m_delay; }
   /// @brief When the event was handled.
   Instant at() const { return m_at; }
-  auto Fields() const { return std::tie(m_loop, m_delay, m_at); }
+  /// @brief When the event of the next sample is due; `kNever` if there may be none.
+  Instant next_due() const { return m_next_due; }
+  auto Fields() const { return std::tie(m_loop, m_delay, m_at, m_next_due); }
 
  private:
   EventLoop m_loop;
   Duration m_delay;
   Instant m_at;
+  Instant m_next_due;
 };
 
 /// @brief CPU time that the process used since the previous sample, as a part of its share.
@@ -134,16 +137,22 @@
 /// empties within the interval is a burst and no overload (as in CoDel).
 class StandingDelay {
  public:
-  void Add(Duration delay, Instant at);
-  /// @brief Zero if the loop has given no sample for some time.
+  void Add(const LoopDelaySample& sample);
+  /// @brief Zero if the loop has given no sample for some time. A sample that is overdue counts if
+  /// the one before was late.
   Duration At(Instant now) const;
-  /// @brief When the newest interval ended.
-  Instant measured_at() const { return m_measured_at; }
+  /// @brief When the newest interval ended; now, if a sample is overdue for longer than that.
+  Instant MeasuredAt(Instant now) const;
 
  private:
+  // for how long the next sample is overdue, at most as long as the newest one was
+  Duration Overdue(Instant now) const;
+
   Instant m_began_at{};
   Instant m_measured_at{};
+  Instant m_next_due = kNever;
   std::uint32_t m_samples = 0;
+  Duration m_newest{};
   // of the interval in progress and of the last one
   Duration m_least{};
   Duration m_last_least{};
@@ -193,6 +202,8 @@
   void Step(Instant now);
   void Lower(Duration delay);
   void Raise();
+  // part of the offered jobs that have priority 0
+  double TopPortion() const;
   // gives the share of all offered jobs to the classes. Complexity: linear in the classes.
   void ShareOut();
 
@@ -202,12 +213,18 @@
   std::array<PriorityClass, kClasses> m_classes;
   // invariant: above 0, at most 1
   double m_share = 1;
+  // jobs offered within the last few steps, a sum that decays with each step
+  double m_offered = 0;
+  // those that the share admitted of them when it was last lowered
+  double m_sustained = 0;
   double m_cpu_use = 0;
   Instant m_stepped_at{};
   // standing delay at the last step
   Duration m_delay{};
   // steps in a row at which the delay was under the target
   std::uint32_t m_good_steps = 0;
+  // steps in a row at which only priority 0 was left to refuse
+  std::uint32_t m_last_class_steps = 0;
 };
 
 /// @brief Creates a controller by its name in the settings: `adaptive` or `admit-all`.
--- a/include/sapphireflow/transport/overload_monitor.h
+++ b/include/sapphireflow/transport/overload_monitor.h
@@ -15,8 +15,9 @@
 
 namespace sapphireflow {
 
-/// @brief Told how late a loop handled an event. Must not block.
-using OnLoopDelay = std::function<void(Duration)>;
+/// @brief Told how late a loop handled an event, and in how long the next one is due; zero if that
+/// is not known. Must not block.
+using OnLoopDelay = std::function<void(Duration delay, Duration next_in)>;
 
 /// @brief Passes measurements to the overload controller and reports what it does. Thread-safe.
 class OverloadMonitor {
--- a/src/admission/overload_controller.cc
+++ b/src/admission/overload_controller.cc
@@ -12,14 +12,16 @@
 // A loop without samples for this long has nothing to do.
 constexpr Duration kSampleLifetime = std::chrono::milliseconds(500);
 // A job passes about four loops, and the objective of a job of 60 ms work leaves 60 ms for them.
-constexpr Duration kTargetDelay = std::chrono::milliseconds(30);
+constexpr Duration kTargetDelay = std::chrono::milliseconds(40);
 // With all of the CPU share in use, half of the target shows already that a queue builds up.
 constexpr double kFullUse = 0.95;
+// A delay above this lowers the share at once, one below it only if it lasts.
+constexpr Duration kDeepDelay = 4 * kTargetDelay;
 // Limits of the factor by which one step lowers the share.
-constexpr double kMinLowerFactor = 0.7;
-constexpr double kMaxLowerFactor = 0.9;
+constexpr double kMinLowerFactor = 0.8;
+constexpr double kMaxLowerFactor = 0.95;
 // A delay that falls by this factor in one step shows that the queue drains at the present share.
-constexpr double kDraining = 0.8;
+constexpr double kDraining = 0.95;
 // The first step up is small, because the VM may be at its limit; each further one grows. From the
 // lowest share to 1 it takes 7 steps.
 constexpr double kRaise = 0.02;
@@ -27,6 +29,12 @@
 constexpr double kMinShare = 0.02;
 // Factor per step; the counts cover about one second.
 constexpr double kOfferedDecay = 0.9;
+// As above for all jobs together, over fewer steps, so that the end of a burst shows soon.
+constexpr double kTotalDecay = 0.5;
+// Priority 0 is refused only after the others have been refused for this many steps in vain, which
+// exceeds the time in which a queue drains; at once where it is most of the load.
+constexpr std::uint32_t kLastClassSteps = 10;
+constexpr double kMaxTopPortion = 0.5;
 constexpr double kCpuUseDecay = 0.6;
 // Share below which callers are sent away for longer.
 constexpr double kDeepShare = 0.5;
@@ -76,12 +84,17 @@
   return "?";
 }
 
-void detail::StandingDelay::Add(Duration delay, Instant at) {
-  if (at - m_began_at > kSampleLifetime) {
-    m_began_at = at;
+void detail::StandingDelay::Add(const LoopDelaySample& sample) {
+  const Duration delay = sample.delay();
+  const Instant at = sample.at();
+  // the loop had nothing to do until the event was due
+  if (at - delay - m_began_at > kSampleLifetime) {
+    m_began_at = at - delay;
     m_samples = 0;
     m_last_least = Duration::zero();
   }
+  m_newest = delay;
+  m_next_due = sample.next_due();
   m_least = m_samples == 0 ? delay : std::min(m_least, delay);
   ++m_samples;
   if (at - m_began_at < kInterval) return;
@@ -92,13 +105,23 @@
   m_samples = 0;
 }
 
+Duration detail::StandingDelay::Overdue(Instant now) const {
+  if (m_next_due >= now) return Duration::zero();
+  return std::min(m_newest, now - m_next_due);
+}
+
 Duration detail::StandingDelay::At(Instant now) const {
-  return now - m_measured_at > kSampleLifetime ? Duration::zero() : m_delay;
+  const bool stale = now - m_measured_at > kSampleLifetime + m_delay;
+  return std::max(stale ? Duration::zero() : m_delay, Overdue(now));
+}
+
+Instant detail::StandingDelay::MeasuredAt(Instant now) const {
+  return Overdue(now) > m_delay ? now : m_measured_at;
 }
 
 void AdmitAll::OnLoopDelay(const LoopDelaySample& sample) {
   std::lock_guard<std::mutex> lock(m_mutex);
-  m_loops[IndexOf(sample.loop())].Add(sample.delay(), sample.at());
+  m_loops[IndexOf(sample.loop())].Add(sample);
 }
 
 OverloadState AdmitAll::State(Instant now) const {
@@ -109,7 +132,7 @@
 
 void AdaptiveOverloadController::OnLoopDelay(const LoopDelaySample& sample) {
   std::lock_guard<std::mutex> lock(m_mutex);
-  m_loops[IndexOf(sample.loop())].Add(sample.delay(), sample.at());
+  m_loops[IndexOf(sample.loop())].Add(sample);
   Step(sample.at());
 }
 
@@ -120,8 +143,10 @@
 
 OverloadVerdict AdaptiveOverloadController::Decide(const ArrivingJob& job) {
   std::lock_guard<std::mutex> lock(m_mutex);
+  Step(job.at());
   PriorityClass& priority = m_classes[std::min<std::size_t>(job.priority(), kClasses - 1)];
   priority.offered += 1;
+  m_offered += 1;
   const Duration delay = m_loops[IndexOf(WorstLoop(job.at()))].At(job.at());
   if (job.time_left() <= delay) return OverloadVerdict::Refuse(RetryAfter(job.key(), m_share));
   if (priority.share >= 1) return OverloadVerdict::Admit();
@@ -147,10 +172,11 @@
   const Duration delay = worst.At(now);
   const Duration target = m_cpu_use >= kFullUse ? kTargetDelay / 2 : kTargetDelay;
   // one measurement counts once
-  if (delay > target && worst.measured_at() <= m_stepped_at) return;
+  if (delay > target && worst.MeasuredAt(now) <= m_stepped_at) return;
   const double steps = std::min(10.0, ToMillis(now - m_stepped_at) / ToMillis(kInterval));
   const double decay = std::pow(kOfferedDecay, steps);
   for (PriorityClass& priority : m_classes) priority.offered *= decay;
+  m_offered *= std::pow(kTotalDecay, steps);
   if (delay > target) {
     Lower(delay);
   } else {
@@ -163,15 +189,34 @@
 
 void AdaptiveOverloadController::Lower(Duration delay) {
   m_good_steps = 0;
+  // the first interval over the target may be a burst that the queue absorbs
+  if (m_delay <= kTargetDelay && delay < kDeepDelay) return;
   if (ToMillis(delay) < ToMillis(m_delay) * kDraining) return;
   const double factor =
       std::clamp(ToMillis(kTargetDelay) / ToMillis(delay), kMinLowerFactor, kMaxLowerFactor);
-  m_share = std::max(kMinShare, m_share * factor);
+  double share = std::max(kMinShare, m_share * factor);
+  const double top = TopPortion();
+  if (share < top && top <= kMaxTopPortion && m_last_class_steps < kLastClassSteps) {
+    ++m_last_class_steps;
+    share = std::min(m_share, top);
+  }
+  m_share = share;
+  m_sustained = m_share * m_offered;
+}
+
+double AdaptiveOverloadController::TopPortion() const {
+  double total = 0;
+  for (const PriorityClass& priority : m_classes) total += priority.offered;
+  return total > 0 ? m_classes.front().offered / total : 0;
 }
 
 void AdaptiveOverloadController::Raise() {
   if (m_share >= 1) return;
-  m_share = std::min(1.0, m_share + kRaise * std::pow(kRaiseGrowth, m_good_steps));
+  m_last_class_steps = 0;
+  m_share += kRaise * std::pow(kRaiseGrowth, m_good_steps);
+  // fewer jobs are offered than before: as many as then can be admitted
+  if (m_offered > 0) m_share = std::max(m_share, m_sustained / m_offered);
+  m_share = std::min(1.0, m_share);
   ++m_good_steps;
 }
 
@@ -180,11 +225,16 @@
   for (const PriorityClass& priority : m_classes) total += priority.offered;
   double left = total * m_share;
   for (PriorityClass& priority : m_classes) {
-    const bool fits = m_share >= 1 || priority.offered <= left;
-    // a class without jobs lately is admitted while something is left for it
-    const bool full = fits && (left > 0 || m_share >= 1 || total <= 0);
-    priority.share = full ? 1.0 : (priority.offered > 0 ? left / priority.offered : 0.0);
-    if (full) priority.credit = 1;
+    if (total <= 0) {
+      // nothing is known about the jobs that will come
+      priority.share = &priority == &m_classes.front() ? 1 : m_share;
+    } else if (m_share >= 1 || (priority.offered <= left && left > 0)) {
+      // also a class without jobs lately, while something is left for it
+      priority.share = 1;
+    } else {
+      priority.share = priority.offered > 0 ? left / priority.offered : 0;
+    }
+    if (priority.share >= 1) priority.credit = 1;
     left = std::max(0.0, left - priority.offered);
   }
 }
--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -131,7 +131,7 @@
 
   // @param due when this tick was due
   void ScheduleNextTick(Instant due) {
-    m_on_tick_delay(m_clock.Now() - due);
+    m_on_tick_delay(m_clock.Now() - due, kTick);
     m_overload.OnTick();
     m_runner.Accept(DispatchTick());
     const Instant next = m_clock.Now() + kTick;
--- a/src/transport/loop_delay_probe.h
+++ b/src/transport/loop_delay_probe.h
@@ -22,8 +22,9 @@
     m_timer.expires_after(kInterval);
     m_timer.async_wait([this](const asio::error_code& failed) {
       if (failed) return;
-      m_on_delay(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
-                                                      m_timer.expiry()));
+      m_on_delay(
+          std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_timer.expiry()),
+          kInterval);
       Start();
     });
   }
--- a/src/transport/overload_monitor.cc
+++ b/src/transport/overload_monitor.cc
@@ -34,8 +34,10 @@
       m_log(log) {}
 
 OnLoopDelay OverloadMonitor::Listener(EventLoop loop) {
-  return [this, loop](Duration delay) {
-    m_controller->OnLoopDelay(LoopDelaySample(loop, delay, m_clock.Now()));
+  return [this, loop](Duration delay, Duration next_in) {
+    const Instant now = m_clock.Now();
+    const Instant next_due = next_in > Duration::zero() ? now + next_in : kNever;
+    m_controller->OnLoopDelay(LoopDelaySample(loop, delay, now, next_due));
   };
 }
 
--- a/tests/unit/unit-platform.cpp
+++ b/tests/unit/unit-platform.cpp
@@ -103,6 +103,18 @@
   CHECK(findings[0].message() == "\"nowhere\" is not of the form IP:PORT");
 }
 
+TEST_CASE("an unknown overload controller is an error, the default is adaptive") {
+  const auto read = ReadPlatformSettings(kSettings, "boot.conf");
+  REQUIRE(std::get_if<PlatformSettings>(&read) != nullptr);
+  CHECK(std::get<PlatformSettings>(read).overload_control() == "adaptive");
+  const auto baseline = ReadPlatformSettings(kSettings + "overload_control=admit-all\n", "f");
+  REQUIRE(std::get_if<PlatformSettings>(&baseline) != nullptr);
+  CHECK(std::get<PlatformSettings>(baseline).overload_control() == "admit-all");
+  const auto unknown = ReadPlatformSettings(kSettings + "overload_control=codel\n", "f");
+  REQUIRE(std::get_if<Findings>(&unknown) != nullptr);
+  CHECK(std::get<Findings>(unknown).size() == 1);
+}
+
 TEST_CASE("a worker's entry is decoded with the id from its key") {
   const auto read = DecodeWorker(WorkerItem(kWorker));
   REQUIRE(std::get_if<WorkerListing>(&read) != nullptr);
