--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -43,6 +43,8 @@
         m_self(service_options.peers(), NewIncarnation(m_clock.Now())),
         m_listing(m_self, service_options.zone(), service_options.milli_cores()),
         m_node(m_listing, settings),
+        m_overload(MakeOverloadController(settings.overload_control()),
+                   service_options.milli_cores(), m_clock, metrics, log),
         m_timers(m_clock,
                  [&log](const std::string& reason) {
                    log.Write(LogEvent(LogLevel::kError, "timer_failed", {{"why", reason}}));
@@ -59,6 +61,7 @@
   const DispatchNode& node() const { return m_node; }
   Sink<DispatchEvent>& events() { return m_runner; }
   PendingReplies& replies() { return m_replies; }
+  OverloadMonitor& overload() { return m_overload; }
 
   std::optional<Error> Start(HttpHandler& callers, HttpHandler& readiness) {
     m_callers = std::make_unique<HttpServer>(m_service_options.callers(), 1, callers, &m_gate,
@@ -67,6 +70,8 @@
                                                IngressListener::kReadiness);
     // members that knew a former process at this address may pass the list of workers on at once
     m_runner.Accept(EvacuationsAwaited());
+    m_callers->MeasureDelay(m_overload.Listener(EventLoop::kCallers));
+    m_links.MeasureDelay(m_overload.Listener(EventLoop::kPeers));
     if (auto error = m_links.Start()) return error;
     if (auto error = m_readiness->Start()) return error;
     if (auto error = m_callers->Start()) return error;
@@ -76,7 +81,7 @@
                           {"callers", m_service_options.callers().text()},
                           {"member", m_self.text()}}));
     m_directory.Start();
-    ScheduleNextTick();
+    ScheduleNextTick(m_clock.Now());
     return std::nullopt;
   }
 
@@ -131,10 +136,14 @@
     }
   }
 
-  void ScheduleNextTick() {
+  // @param due when this tick was due
+  void ScheduleNextTick(Instant due) {
+    m_on_tick_delay(m_clock.Now() - due, kTick);
+    m_overload.OnTick();
     m_runner.Accept(DispatchTick());
     m_gate.Sweep();
-    m_timers.At(m_clock.Now() + kTick, [this] { ScheduleNextTick(); });
+    const Instant next = m_clock.Now() + kTick;
+    m_timers.At(next, [this, next] { ScheduleNextTick(next); });
   }
 
   void WaitOnTimer(Duration length) {
@@ -161,6 +170,8 @@
   const MemberListing m_listing;
   PendingReplies m_replies;
   DispatchNode m_node;
+  OverloadMonitor m_overload;
+  const OnLoopDelay m_on_tick_delay = m_overload.Listener(EventLoop::kTimers);
   TimerThread m_timers;
   ForwardingListener m_listener;
   PeerLinks m_links;
@@ -185,6 +196,8 @@
 Sink<DispatchEvent>& DispatchService::events() { return m_impl->events(); }
 PendingReplies& DispatchService::replies() { return m_impl->replies(); }
 
+OverloadMonitor& DispatchService::overload() { return m_impl->overload(); }
+
 std::optional<Error> DispatchService::Start(HttpHandler& callers, HttpHandler& readiness) {
   return m_impl->Start(callers, readiness);
 }
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "loop_delay_probe.h"
 #include "sapphireflow/transport/detail/guarded_socket.h"
 
 namespace sapphireflow {
@@ -216,12 +217,15 @@
     } catch (const std::exception& problem) {
       return Error(ErrorId::kIo, std::string("cannot listen for HTTP requests: ") + problem.what());
     }
+    if (m_probe) m_probe->Start();
     for (int i = 0; i < m_thread_count; ++i) {
       m_threads.emplace_back([this] { m_context.run(); });
     }
     return std::nullopt;
   }
 
+  void MeasureDelay(OnLoopDelay on_delay) { m_probe.emplace(m_context, std::move(on_delay)); }
+
   void DisableKeepAlive() { m_keep_alive_disabled = true; }
 
   void Stop() {
@@ -248,6 +252,7 @@
   asio::io_context m_context;
   // owned by m_context; set before the server makes its first sockets
   const detail::IngressContext& m_ingress;
+  std::optional<LoopDelayProbe> m_probe;
   restinio::http_server_t<Traits> m_server;
   std::vector<std::thread> m_threads;
 };
@@ -258,6 +263,8 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::MeasureDelay(OnLoopDelay on_delay) { m_impl->MeasureDelay(std::move(on_delay)); }
+
 std::optional<Error> HttpServer::Start() { return m_impl->Start(); }
 
 void HttpServer::DisableKeepAlive() { m_impl->DisableKeepAlive(); }
