Keep VMs of an evacuated zone ready when announcements of other zones are late

Cause: a VM whose own workers are all evacuated was ready only by what relays announce of other zones, which expires after 3.5 s. Announcements that are late under load would have taken all VMs of the zone out of the balancer at once. Change: such a VM stays ready once it has known a usable worker.

--- a/include/sapphireflow/dispatch/capacity_view.h
+++ b/include/sapphireflow/dispatch/capacity_view.h
@@ -68,8 +68,10 @@
   bool HasFreeCapacityElsewhere(const std::string& service, const Resources& needs,
                                 bool include_other_zones,
                                 const WorkerFilter& may_use = nullptr) const;
-  /// @brief Whether any owner has a usable worker, or all listed workers are in evacuated zones: a
-  /// VM has to be ready to refuse the jobs that nobody can run.
+  /// @brief Whether any owner has a usable worker. While zones are evacuated, a VM counts as having
+  /// some if its own zone is evacuated and it has known some, because late announcements of other
+  /// zones must not take all VMs of the zone out; or if all listed workers are in evacuated zones,
+  /// because somebody has to refuse the jobs.
   bool HasWorkers() const;
   /// @brief Whether all listed workers of the service, at least one, are in evacuated zones.
   bool IsEvacuated(const std::string& service) const;
@@ -91,6 +93,8 @@
     bool relayed = false;
   };
   using Key = std::pair<NodeId, std::string>;
+  // whether evacuations are the reason that no owner has a usable worker
+  bool CountsAsReady() const;
   // updates m_open_services; linear in the listed workers
   void FindOpenServices();
   // index in free_workers of the worker that the policy prefers
@@ -111,6 +115,8 @@
   std::map<Key, Entry> m_entries;
   // guarded by m_mutex
   std::map<WorkerId, WorkerListing> m_listings;
+  // guarded by m_mutex; whether an owner has ever announced a usable worker
+  bool m_had_workers = false;
   // guarded by m_mutex
   EvacuatedZones m_evacuated;
   // guarded by m_mutex; by service, whether a listed worker is outside of the evacuated zones
--- a/src/dispatch/capacity_view.cc
+++ b/src/dispatch/capacity_view.cc
@@ -45,12 +45,14 @@
   entry.milli_cores = digest.milli_cores();
   entry.expires_at = expires_at;
   entry.relayed = false;
+  m_had_workers = m_had_workers || digest.milli_cores() > 0;
 }
 
 void CapacityView::UpdateRelayed(const CapacityAnnouncement& announcement, Instant now,
                                  Instant expires_at) {
   std::lock_guard<std::mutex> lock(m_mutex);
   for (const CapacityDigest& digest : announcement.digests()) {
+    m_had_workers = m_had_workers || digest.milli_cores() > 0;
     Entry& entry = m_entries[Key(announcement.owner(), digest.service())];
     const bool is_new = entry.zone.empty();
     if (!is_new && !entry.relayed && now < entry.expires_at) continue;
@@ -264,12 +266,9 @@
 
 bool CapacityView::HasWorkers() const {
   std::lock_guard<std::mutex> lock(m_mutex);
-  if (std::any_of(m_entries.begin(), m_entries.end(),
-                  [](const auto& item) { return item.second.milli_cores > 0; })) {
-    return true;
-  }
-  return !m_open_services.empty() && std::none_of(m_open_services.begin(), m_open_services.end(),
-                                                  [](const auto& item) { return item.second; });
+  const bool is_usable = std::any_of(m_entries.begin(), m_entries.end(),
+                                     [](const auto& item) { return item.second.milli_cores > 0; });
+  return is_usable || CountsAsReady();
 }
 
 bool CapacityView::CouldEverRun(const std::string& service, const Resources& needs,
--- a/src/dispatch/capacity_view_evacuation.cc
+++ b/src/dispatch/capacity_view_evacuation.cc
@@ -21,6 +21,12 @@
   }
 }
 
+bool CapacityView::CountsAsReady() const {
+  if (m_had_workers && m_evacuated.Contains(m_zone)) return true;
+  return !m_open_services.empty() && std::none_of(m_open_services.begin(), m_open_services.end(),
+                                                  [](const auto& item) { return item.second; });
+}
+
 bool CapacityView::IsEvacuated(const std::string& service) const {
   std::lock_guard<std::mutex> lock(m_mutex);
   const auto found = m_open_services.find(service);
--- a/tests/unit/unit-evacuation.cpp
+++ b/tests/unit/unit-evacuation.cpp
@@ -205,6 +205,32 @@
   CHECK(vm.node().Ready());
 }
 
+// Guards against all VMs of a zone that leave the balancer when announcements come late.
+TEST_CASE("a VM of an evacuated zone stays ready once it has known workers") {
+  CapacityView view(kSelf, "celaya", MakeOwnerChoice("earliest-end"));
+  const auto announce = [&view](std::int64_t milli_cores) {
+    view.Update(kSelf, "celaya", CapacityDigest(kService, {}, Millis(0), milli_cores));
+  };
+  view.SetEvacuated(EvacuatedZones({"celaya"}));
+  announce(0);
+  CHECK_FALSE(view.HasWorkers());
+  SECTION("its own") { announce(16000); }
+  SECTION("those that a relay named") {
+    const NodeId other(Address(2, 7720), 1);
+    view.UpdateRelayed(
+        CapacityAnnouncement(other, "leon", {CapacityDigest(kService, {}, Millis(0), 16000)}),
+        Instant{}, Instant{} + Millis(1));
+    CHECK(view.HasWorkers());
+    view.DropExpired(Instant{} + Millis(1));
+  }
+  announce(0);
+  CHECK(view.HasWorkers());
+  // its wait attracts no runs
+  CHECK_FALSE(view.ShortestWait(kService, kNeeds));
+  view.SetEvacuated(EvacuatedZones({"leon"}));
+  CHECK_FALSE(view.HasWorkers());
+}
+
 // Guards against runs that are stopped, or lapse, because their zone is evacuated.
 TEST_CASE("runs at work in an evacuated zone are neither stopped nor given up") {
   LoneVm vm;
