Serve the peer links by one thread

Cause: two threads ran the event loop of the peer links. They handed the steps of nearly each message to each other, with a futex call and a change of context for each. An entry VM has at most half a core, so that the second thread gains nothing.

Change: one thread, and an event loop that knows of it.

--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -57,8 +57,7 @@
     } catch (const std::exception& problem) {
       return Error(ErrorId::kIo, std::string("cannot listen for peers: ") + problem.what());
     }
-    constexpr int kThreads = 2;
-    for (int i = 0; i < kThreads; ++i) m_threads.emplace_back([this] { m_context.run(); });
+    m_thread = std::thread([this] { m_context.run(); });
     return std::nullopt;
   }
 
@@ -99,10 +98,9 @@
   }
 
   void Stop() {
-    if (m_threads.empty()) return;
+    if (!m_thread.joinable()) return;
     m_context.stop();
-    for (std::thread& thread : m_threads) thread.join();
-    m_threads.clear();
+    m_thread.join();
   }
 
  private:
@@ -198,13 +196,15 @@
   const Address m_self;
   const std::string m_authorization;
   PeerListener& m_listener;
-  websocketpp::lib::asio::io_service m_context;
+  // for one thread: two of them wake each other for nearly each message, and an entry VM has at
+  // most half a core
+  websocketpp::lib::asio::io_service m_context{1};
   Server m_server;
   Client m_client;
   std::mutex m_mutex;
   // keyed by the peer's address; invariant: guarded by m_mutex
   std::map<Address, Link> m_links;
-  std::vector<std::thread> m_threads;
+  std::thread m_thread;
 };
 
 PeerLinks::PeerLinks(const Address& self, const std::string& key, PeerListener& listener)
