Draw the masking keys of peer links in batches

Cause: websocketpp draws the masking key of each frame that a client sends from std::random_device, which makes a system call for each.

Change: keys come from the same source of the kernel, 64 with each call. They remain unpredictable.

--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -2,11 +2,15 @@
 #include "sapphireflow/transport/peer_links.h"
 
 #include <netinet/tcp.h>
+#include <sys/random.h>
 #include <sys/socket.h>
 
+#include <array>
+#include <cerrno>
 #include <exception>
 #include <map>
 #include <mutex>
+#include <system_error>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -18,8 +22,38 @@
 namespace sapphireflow {
 namespace {
 
+/// Masking keys of frames, as unpredictable as those of `std::random_device`, which makes a system
+/// call for each. Thread-safe, because all connections share one object.
+class MaskingKeys {
+ public:
+  std::uint32_t operator()() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_next == m_keys.size()) {
+      // without its result, keys would repeat; the kernel gives up to 256 bytes without a failure
+      const auto size = static_cast<ssize_t>(sizeof m_keys);
+      if (getrandom(m_keys.data(), sizeof m_keys, 0) != size) {
+        throw std::system_error(errno, std::generic_category(), "getrandom");
+      }
+      m_next = 0;
+    }
+    return m_keys[m_next++];
+  }
+
+ private:
+  static constexpr std::size_t kKeysPerCall = 64;
+  std::mutex m_mutex;
+  // both guarded by m_mutex
+  std::array<std::uint32_t, kKeysPerCall> m_keys{};
+  std::size_t m_next = kKeysPerCall;
+};
+
+struct ClientConfig : public websocketpp::config::asio_client {
+  using type = ClientConfig;
+  using rng_type = MaskingKeys;
+};
+
 using Server = websocketpp::server<websocketpp::config::asio>;
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Client = websocketpp::client<ClientConfig>;
 using websocketpp::connection_hdl;
 
 constexpr long kOpenTimeoutMs = 1000;
