Keep sockets of idle connections registered for events

Cause: libcurl waits for nothing on a connection between two calls, so that the HTTP client unregistered and registered its socket with each call.

Change: the socket stays registered, and is unregistered if something happens on it meanwhile. A call that needs the same events as the one before makes no system call for it.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -144,10 +145,6 @@
     if (found != loop->m_extensible.end()) {
       found->second = what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : socket;
     }
-    if (what == CURL_POLL_REMOVE) {
-      loop->IgnoreSocket(socket);
-      return 0;
-    }
     std::uint32_t events = 0;
     if ((what & CURL_POLL_IN) != 0) events |= EPOLLIN;
     if ((what & CURL_POLL_OUT) != 0) events |= EPOLLOUT;
@@ -165,18 +162,36 @@
     return 0;
   }
 
-  void WatchSocket(int socket, std::uint32_t events) const {
-    epoll_event wanted{};
-    wanted.events = events;
-    wanted.data.fd = socket;
-    const int number = m_epoll.number();
-    if (epoll_ctl(number, EPOLL_CTL_MOD, socket, &wanted) != 0) {
-      epoll_ctl(number, EPOLL_CTL_ADD, socket, &wanted);
-    }
+  static curl_socket_t OnSocketOpened(void* user, curlsocktype /*purpose*/,
+                                      curl_sockaddr* address) {
+    const int opened = socket(address->family, address->socktype, address->protocol);
+    // closing the socket that had this number unregistered it
+    static_cast<Loop*>(user)->m_watched.erase(opened);
+    return opened;
+  }
+
+  // A socket that no transfer uses stays registered for what it was, because the next transfer on
+  // its connection most often needs the same. Events of it unregister it.
+  void WatchSocket(int socket, std::uint32_t events) {
+    const auto [place, is_new] = m_watched.try_emplace(socket);
+    Watched& watched = place->second;
+    watched.wanted = events;
+    if (events == 0 || (!is_new && watched.registered == events)) return;
+    watched.registered = events;
+    epoll_event change{};
+    change.events = events;
+    change.data.fd = socket;
+    epoll_ctl(m_epoll.number(), is_new ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &change);
   }
 
-  void IgnoreSocket(int socket) const {
+  // returns whether a transfer uses the socket
+  bool IsWanted(int socket) {
+    const auto found = m_watched.find(socket);
+    if (found == m_watched.end()) return false;
+    if (found->second.wanted != 0) return true;
     epoll_ctl(m_epoll.number(), EPOLL_CTL_DEL, socket, nullptr);
+    m_watched.erase(found);
+    return false;
   }
 
   CURL* AcquireHandle() {
@@ -192,6 +207,8 @@
     const std::string url = "http://" + call.to().text() + call.target();
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Loop::OnSocketOpened);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
@@ -348,6 +365,7 @@
         eventfd_read(m_wakeup.number(), &ignored);
         continue;
       }
+      if (!IsWanted(event.data.fd)) continue;
       // on an error without data, libcurl reads the state of the socket itself
       int ready = 0;
       if ((event.events & EPOLLIN) != 0) ready |= CURL_CSELECT_IN;
@@ -389,8 +407,16 @@
     }
   }
 
+  // events of a socket that libcurl waits for, and those that it is registered for
+  struct Watched {
+    std::uint32_t wanted = 0;
+    std::uint32_t registered = 0;
+  };
+
   const Descriptor m_epoll{epoll_create1(EPOLL_CLOEXEC)};
   const Descriptor m_wakeup{eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)};
+  // by socket, also of some that were closed since; bounded by the limit on open files
+  std::unordered_map<int, Watched> m_watched;
   CURLM* m_multi;
   const OnFailure m_on_failure;
   std::mutex m_mutex;
