Find a counter without copying its names

Cause: each increment built a key of three strings, under the lock of the shard, although the counter nearly always exists.

Change: the counter is looked up by references to the names; they are copied only for a new counter.

Measured: 30,000 increments of three counters and the start of the program take 29.7 million instructions before and 23.5 million after (callgrind). In a fleet on loopback all of the metrics are 0.4 to 0.9 % of the CPU time.

--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -28,7 +28,7 @@
   struct Shard {
     mutable std::mutex mutex;
     // invariant: guarded by mutex
-    std::map<CounterKey, std::uint64_t> counters;
+    std::map<CounterKey, std::uint64_t, std::less<>> counters;
     std::map<std::string, Distribution> responses;
   };
   // Threads are spread over the shards by the hash of their id, so that they rarely contend.
@@ -48,7 +48,14 @@
                                const std::string& value, std::uint64_t by) {
   Impl::Shard& shard = m_impl->ShardOfThisThread();
   std::lock_guard<std::mutex> lock(shard.mutex);
-  shard.counters[CounterKey(name, label, value)] += by;
+  // copies the names only for a new counter
+  const auto key = std::tie(name, label, value);
+  const auto found = shard.counters.find(key);
+  if (found != shard.counters.end()) {
+    found->second += by;
+  } else {
+    shard.counters.emplace(key, by);
+  }
 }
 
 void Metrics::RecordResponse(const std::string& kind, Duration response) {
