--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -2,11 +2,15 @@
 #include "sapphireflow/transport/peer_links.h"
 
 #include <netinet/tcp.h>
+#include <sys/random.h>
 #include <sys/socket.h>
 
+#include <array>
+#include <cerrno>
 #include <exception>
 #include <map>
 #include <mutex>
+#include <system_error>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -20,8 +24,38 @@
 namespace sapphireflow {
 namespace {
 
+/// Masking keys of frames, as unpredictable as those of `std::random_device`, which makes a system
+/// call for each. Thread-safe, because all connections share one object.
+class MaskingKeys {
+ public:
+  std::uint32_t operator()() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_next == m_keys.size()) {
+      // without its result, keys would repeat; the kernel gives up to 256 bytes without a failure
+      const auto size = static_cast<ssize_t>(sizeof m_keys);
+      if (getrandom(m_keys.data(), sizeof m_keys, 0) != size) {
+        throw std::system_error(errno, std::generic_category(), "getrandom");
+      }
+      m_next = 0;
+    }
+    return m_keys[m_next++];
+  }
+
+ private:
+  static constexpr std::size_t kKeysPerCall = 64;
+  std::mutex m_mutex;
+  // both guarded by m_mutex
+  std::array<std::uint32_t, kKeysPerCall> m_keys{};
+  std::size_t m_next = kKeysPerCall;
+};
+
+struct ClientConfig : public websocketpp::config::asio_client {
+  using type = ClientConfig;
+  using rng_type = MaskingKeys;
+};
+
 using Server = websocketpp::server<websocketpp::config::asio>;
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Client = websocketpp::client<ClientConfig>;
 using websocketpp::connection_hdl;
 
 constexpr long kOpenTimeoutMs = 1000;
@@ -62,8 +96,7 @@
       return Error(ErrorId::kIo, std::string("cannot listen for peers: ") + problem.what());
     }
     if (m_probe) m_probe->Start();
-    constexpr int kThreads = 2;
-    for (int i = 0; i < kThreads; ++i) m_threads.emplace_back([this] { m_context.run(); });
+    m_thread = std::thread([this] { m_context.run(); });
     return std::nullopt;
   }
 
@@ -104,10 +137,9 @@
   }
 
   void Stop() {
-    if (m_threads.empty()) return;
+    if (!m_thread.joinable()) return;
     m_context.stop();
-    for (std::thread& thread : m_threads) thread.join();
-    m_threads.clear();
+    m_thread.join();
   }
 
  private:
@@ -203,14 +235,16 @@
   const Address m_self;
   const std::string m_authorization;
   PeerListener& m_listener;
-  websocketpp::lib::asio::io_service m_context;
+  // for one thread: two of them wake each other for nearly each message, and an entry VM has at
+  // most half a core
+  websocketpp::lib::asio::io_service m_context{1};
   std::optional<LoopDelayProbe> m_probe;
   Server m_server;
   Client m_client;
   std::mutex m_mutex;
   // keyed by the peer's address; invariant: guarded by m_mutex
   std::map<Address, Link> m_links;
-  std::vector<std::thread> m_threads;
+  std::thread m_thread;
 };
 
 PeerLinks::PeerLinks(const Address& self, const std::string& key, PeerListener& listener)
