--- a/include/sapphireflow/transport/http_client.h
+++ b/include/sapphireflow/transport/http_client.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "sapphireflow/transport/http.h"
-#include "sapphireflow/transport/overload_monitor.h"
+#include "sapphireflow/transport/loop_delay.h"
 
 namespace sapphireflow {
 
--- a/include/sapphireflow/transport/http_server.h
+++ b/include/sapphireflow/transport/http_server.h
@@ -7,7 +7,7 @@
 
 #include "sapphireflow/model/error.h"
 #include "sapphireflow/transport/http.h"
-#include "sapphireflow/transport/overload_monitor.h"
+#include "sapphireflow/transport/loop_delay.h"
 
 namespace sapphireflow {
 
--- a/include/sapphireflow/transport/overload_monitor.h
+++ b/include/sapphireflow/transport/overload_monitor.h
@@ -4,7 +4,6 @@
 #define SAPPHIREFLOW_TRANSPORT_OVERLOAD_MONITOR_H_
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <mutex>
 
@@ -12,13 +11,10 @@
 #include "sapphireflow/observe/event_log.h"
 #include "sapphireflow/observe/metrics.h"
 #include "sapphireflow/transport/clock.h"
+#include "sapphireflow/transport/loop_delay.h"
 
 namespace sapphireflow {
 
-/// @brief Told how late a loop handled an event, and in how long the next one is due; zero if that
-/// is not known. Must not block.
-using OnLoopDelay = std::function<void(Duration delay, Duration next_in)>;
-
 /// @brief Passes measurements to the overload controller and reports what it does. Thread-safe.
 class OverloadMonitor {
  public:
--- a/include/sapphireflow/transport/peer_links.h
+++ b/include/sapphireflow/transport/peer_links.h
@@ -8,7 +8,7 @@
 
 #include "sapphireflow/model/address.h"
 #include "sapphireflow/model/error.h"
-#include "sapphireflow/transport/overload_monitor.h"
+#include "sapphireflow/transport/loop_delay.h"
 
 namespace sapphireflow {
 
--- a/src/admission/overload_controller.cc
+++ b/src/admission/overload_controller.cc
@@ -27,6 +27,9 @@
 constexpr double kRaise = 0.02;
 constexpr double kRaiseGrowth = 1.8;
 constexpr double kMinShare = 0.02;
+// A throttled core delays its loops by up to 100 ms whatever its load, so a delay that is not deep
+// does not lower the share further than this.
+constexpr double kMinShallowShare = 0.25;
 // Factor per step; the counts cover about one second.
 constexpr double kOfferedDecay = 0.9;
 // As above for all jobs together, over fewer steps, so that the end of a burst shows soon.
@@ -194,7 +197,8 @@
   if (ToMillis(delay) < ToMillis(m_delay) * kDraining) return;
   const double factor =
       std::clamp(ToMillis(kTargetDelay) / ToMillis(delay), kMinLowerFactor, kMaxLowerFactor);
-  double share = std::max(kMinShare, m_share * factor);
+  const double lowest = delay < kDeepDelay ? std::min(m_share, kMinShallowShare) : kMinShare;
+  double share = std::max(lowest, m_share * factor);
   const double top = TopPortion();
   if (share < top && top <= kMaxTopPortion && m_last_class_steps < kLastClassSteps) {
     ++m_last_class_steps;
--- a/src/transport/loop_delay_probe.h
+++ b/src/transport/loop_delay_probe.h
@@ -7,7 +7,7 @@
 #include <chrono>
 #include <utility>
 
-#include "sapphireflow/transport/overload_monitor.h"
+#include "sapphireflow/transport/loop_delay.h"
 
 namespace sapphireflow {
 
--- a/src/transport/overload_monitor.cc
+++ b/src/transport/overload_monitor.cc
@@ -84,7 +84,7 @@
   m_longest_delay = std::max(m_longest_delay, state.worst_delay());
   const bool changed = state.overloaded() != m_overloaded;
   if (now - m_logged_at < kLogInterval || (!changed && m_refused == 0)) return;
-  const char* name = "overload_goes_on";
+  const char* name = "jobs_shed";
   if (changed) name = state.overloaded() ? "overload_began" : "overload_ended";
   m_log.Write(LogEvent(state.overloaded() ? LogLevel::kWarning : LogLevel::kInfo, name,
                        {{"loop", EventLoopName(state.worst())},
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -131,7 +131,8 @@
                       << "\nlimits.cpu_share=0.25\nlimits.cores=1\n"
                       << "bounds.max_hold_ms=1000\nbounds.retry_ms=1300\nbounds.drain_timeout_ms="
                          "2000\nbounds.grace_period_s=6\n"
-                      << "bounds.remote_factor=2\nplatform.address=" << store.text() << "\n";
+                      << "bounds.remote_factor=2\nplatform.address=" << store.text() << "\n"
+                      << m_plan.settings;
   return path;
 }
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -40,6 +40,8 @@
   // Callers connect to the nodes without a proxy, so that connections to a stopped process are
   // refused. A proxy would accept them.
   bool direct_callers = false;
+  // more lines for the nodes' settings
+  std::string settings;
 };
 
 /// @brief Direction of the links between nodes that a fault affects, as seen from one node.
