Correct a test of overload control: the job's body lacked best_effort

Change: the body of the test only; the product is as it was. Result: the three tests of unit-overload_refusal.cpp pass (18 assertions).

--- a/tests/unit/unit-overload_refusal.cpp
+++ b/tests/unit/unit-overload_refusal.cpp
@@ -118,8 +118,8 @@
 };
 
 const std::string kName = "00000000000000a7";
-const std::string kBody =
-    R"({"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimated_ms":20}]})";
+const std::string kBody = R"({"spec":"x","best_effort":true,)"
+                          R"("steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimated_ms":20}]})";
 
 }  // namespace
 
