--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -227,9 +227,10 @@
     }
     const auto now = std::chrono::steady_clock::now();
     // the first one has waited longest
-    if (on_delay)
+    if (on_delay) {
       on_delay(std::chrono::duration_cast<Duration>(now - added.front()->queued_at),
                Duration::zero());
+    }
     for (auto& transfer : added) {
       // the caller assumes that the request was sent within its timeout, or not at all
       if (now - transfer->queued_at >= transfer->call.timeout()) {
--- a/tests/overload/throttled_main.cc
+++ b/tests/overload/throttled_main.cc
@@ -5,7 +5,6 @@
 
 #include <csignal>
 #include <filesystem>
-#include <fstream>
 #include <future>
 #include <iostream>
 
@@ -40,15 +39,6 @@
                     [&fleet, interval, until] { SubmitPeriodically(fleet, interval, until); });
 }
 
-int CountLines(const std::string& file, const std::string& text) {
-  std::ifstream log(file);
-  int count = 0;
-  for (std::string line; std::getline(log, line);) {
-    if (line.find(text) != std::string::npos) ++count;
-  }
-  return count;
-}
-
 // @param adaptive whether the node is to refuse jobs; otherwise the result is only printed
 bool Run(const FleetPlan& plan, bool adaptive) {
   std::filesystem::remove_all(plan.folder);
@@ -78,9 +68,8 @@
     fleet.checker().AddViolation("calm: " + job + " was not served after the overload");
   }
   const auto tally = fleet.checker().tally();
-  const std::string log = plan.folder + "/node-1.log";
-  const int began = CountLines(log, "event=overload_began");
-  const int ended = CountLines(log, "event=overload_ended");
+  const int began = fleet.CountLogLines("event=overload_began");
+  const int ended = fleet.CountLogLines("event=overload_ended");
   if (adaptive && began == 0) fleet.checker().AddViolation("the node did not notice the overload");
   if (began != ended) fleet.checker().AddViolation("an overload did not end");
   const auto violations = fleet.checker().violations();
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -178,6 +178,17 @@
   }
 }
 
+int Fleet::CountLogLines(const std::string& text) const {
+  int count = 0;
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    std::ifstream log(m_plan.folder + "/node-" + std::to_string(i + 1) + ".log");
+    for (std::string line; std::getline(log, line);) {
+      if (line.find(text) != std::string::npos) ++count;
+    }
+  }
+  return count;
+}
+
 void Fleet::OnCrash(const std::string& worker) {
   const std::size_t index = std::stoul(worker.substr(worker.find('-') + 1)) - 1;
   if (m_workers[index]->down.exchange(true)) return;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -88,6 +88,8 @@
   /// was frozen in between.
   void KeepRunning(std::size_t node);
 
+  /// @return how many lines of the nodes' logs contain a text. Complexity: linear in the logs.
+  int CountLogLines(const std::string& text) const;
   /// @brief Writes the next version of the configuration, which adds a queue and removes the one
   /// that the previous version added, and schedules probes of the new queue.
   void ChangeConfiguration();
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -133,8 +133,8 @@
   std::cout << (violations.empty() ? "ok   " : "FAIL ") << "seed " << plan.seed << ": served "
             << tally.served << ", failed " << tally.failed << ", refused " << tally.refused
             << ", unanswered " << tally.unanswered << ", starts " << tally.starts << ", crashes "
-            << tally.crashes << ", in calm "
-            << fault_free_jobs.jobs - fault_free_jobs.not_served.size() << " of "
+            << tally.crashes << ", overloads " << fleet.CountLogLines("event=overload_began")
+            << ", in calm " << fault_free_jobs.jobs - fault_free_jobs.not_served.size() << " of "
             << fault_free_jobs.jobs << "\n";
   for (const std::string& violation : violations) std::cout << "  " << violation << "\n";
   std::cout.flush();
