--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -132,7 +132,8 @@
                       << "\nlimits.cpu_share=0.25\nlimits.cores=1\n"
                       << "bounds.max_hold_ms=1000\nbounds.retry_ms=1300\nbounds.drain_timeout_ms="
                          "2000\nbounds.grace_period_s=6\n"
-                      << "bounds.remote_factor=2\nplatform.address=" << store.text() << "\n";
+                      << "bounds.remote_factor=2\nplatform.address=" << store.text() << "\n"
+                      << m_plan.settings;
   return path;
 }
 
@@ -178,6 +179,17 @@
   }
 }
 
+int Fleet::CountLogLines(const std::string& text) const {
+  int count = 0;
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    std::ifstream log(m_plan.folder + "/node-" + std::to_string(i + 1) + ".log");
+    for (std::string line; std::getline(log, line);) {
+      if (line.find(text) != std::string::npos) ++count;
+    }
+  }
+  return count;
+}
+
 void Fleet::OnCrash(const std::string& worker) {
   const std::size_t index = std::stoul(worker.substr(worker.find('-') + 1)) - 1;
   if (m_workers[index]->down.exchange(true)) return;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -40,6 +40,8 @@
   // Callers connect to the nodes without a proxy, so that connections to a stopped process are
   // refused. A proxy would accept them.
   bool direct_callers = false;
+  // more lines for the nodes' settings
+  std::string settings;
 };
 
 /// @brief Direction of the links between nodes that a fault affects, as seen from one node.
@@ -86,6 +88,8 @@
   /// was frozen in between.
   void KeepRunning(std::size_t node);
 
+  /// @return how many lines of the nodes' logs contain a text. Complexity: linear in the logs.
+  int CountLogLines(const std::string& text) const;
   /// @brief Writes the next version of the configuration, which adds a queue and removes the one
   /// that the previous version added, and schedules probes of the new queue.
   void ChangeConfiguration();
