--- a/include/sapphireflow/admission/ingress_budget.h
+++ b/include/sapphireflow/admission/ingress_budget.h
@@ -62,6 +62,8 @@
  public:
   /// @brief Memory of an open connection without a request: its objects and its read buffer.
   static constexpr std::size_t kConnectionBytes = 8U << 10;
+  /// @brief The same of a peer's connection, whose handshake is part of it.
+  static constexpr std::size_t kPeerConnectionBytes = 64U << 10;
   /// @brief Requests that hold at most this may use the reserve.
   static constexpr std::size_t kSmallBytes = 64U << 10;
 
@@ -83,6 +85,9 @@
   void HoldAnswer(IngressId id, std::size_t bytes);
   /// @brief A request was answered, or its answer was dropped.
   void Answered(IngressId id, Instant now);
+  /// @brief The client has proven to be a part of the system: its connection is never chosen to be
+  /// closed.
+  void Trust(IngressId id);
   void Close(IngressId id);
   /// @brief Connections whose request has taken longer than allowed. They are reported once.
   /// Complexity: constant if no request is unfinished, otherwise linear in the connections.
@@ -102,11 +107,14 @@
     bool served = false;
     // was told to the caller to be closed
     bool closing = false;
+    bool trusted = false;
+    // complete requests
     std::size_t unanswered = 0;
     std::size_t base_bytes = 0;
     std::size_t request_bytes = 0;
     // of complete requests and of answers
     std::size_t answer_bytes = 0;
+    bool Evictable() const { return !closing && !trusted && unanswered == 0; }
     std::size_t HeldBytes() const { return base_bytes + request_bytes + answer_bytes; }
   };
   struct Shard {
--- a/include/sapphireflow/settings/entry_settings.h
+++ b/include/sapphireflow/settings/entry_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "sapphireflow/admission/ingress_limits.h"
 #include "sapphireflow/execution/shard.h"
 #include "sapphireflow/membership/peer_view.h"
 #include "sapphireflow/model/error.h"
@@ -39,13 +40,20 @@
  public:
   EntryLimits() = default;
   EntryLimits(int http_threads, int worker_threads, ShardIndex shards, std::size_t max_body_bytes,
-              Duration drain_limit, std::string log_file)
+              Duration drain_limit, std::string log_file,
+              const IngressLimits& ingress = DefaultIngress())
       : m_http_threads(http_threads),
         m_worker_threads(worker_threads),
         m_shards(shards),
         m_max_body_bytes(max_body_bytes),
         m_drain_limit(drain_limit),
-        m_log_file(std::move(log_file)) {}
+        m_log_file(std::move(log_file)),
+        m_ingress(ingress) {}
+  static constexpr std::size_t kDefaultMemoryMb = 120;
+  static constexpr std::size_t kDefaultMaxDescriptors = 3075;
+  static IngressLimits DefaultIngress() {
+    return IngressLimits::ForMachine(kDefaultMemoryMb, kDefaultMaxDescriptors);
+  }
   int http_threads() const { return m_http_threads; }
   int worker_threads() const { return m_worker_threads; }
   ShardIndex shards() const { return m_shards; }
@@ -53,9 +61,11 @@
   Duration drain_limit() const { return m_drain_limit; }
   /// @brief Empty to log to standard error.
   const std::string& log_file() const { return m_log_file; }
+  /// @brief Limits on the clients of all listeners.
+  const IngressLimits& ingress() const { return m_ingress; }
   auto Fields() const {
     return std::tie(m_http_threads, m_worker_threads, m_shards, m_max_body_bytes, m_drain_limit,
-                    m_log_file);
+                    m_log_file, m_ingress);
   }
 
  private:
@@ -66,6 +76,7 @@
   std::size_t m_max_body_bytes = 1U << 20;
   Duration m_drain_limit = std::chrono::seconds(30);
   std::string m_log_file;
+  IngressLimits m_ingress = DefaultIngress();
 };
 
 /// @brief All settings of an entry VM.
--- a/include/sapphireflow/transport/entry_http.h
+++ b/include/sapphireflow/transport/entry_http.h
@@ -11,6 +11,7 @@
 #include "sapphireflow/routing/node.h"
 #include "sapphireflow/transport/clock.h"
 #include "sapphireflow/transport/http.h"
+#include "sapphireflow/transport/ingress_gate.h"
 #include "sapphireflow/transport/pending_replies.h"
 
 namespace sapphireflow {
@@ -21,9 +22,10 @@
   /// All references must outlive the handler.
   EntryHttp(Sink<NodeEvent>& events, const Node& node, const Clock& clock, PendingReplies& replies,
             const JobIdCodec& id_codec, Metrics& metrics, std::string operator_key,
-            std::size_t max_body_bytes);
+            std::size_t max_body_bytes, const IngressGate& gate);
 
   void Handle(const HttpRequest& request, std::shared_ptr<HttpResponder> responder) override;
+  std::size_t max_body_bytes() const override { return m_max_body_bytes; }
 
  private:
   using ResponderPtr = std::shared_ptr<HttpResponder>;
@@ -46,6 +48,7 @@
   Metrics& m_metrics;
   const std::string m_operator_authorization;
   const std::size_t m_max_body_bytes;
+  const IngressGate& m_gate;
 };
 
 }  // namespace sapphireflow
--- a/include/sapphireflow/transport/ingress_gate.h
+++ b/include/sapphireflow/transport/ingress_gate.h
@@ -68,6 +68,8 @@
                         bool complete, std::size_t max_body_bytes);
   void HoldAnswer(IngressConnection& connection, std::size_t bytes);
   void Answered(IngressConnection& connection);
+  /// @brief See `IngressBudget::Trust`.
+  void Trust(IngressConnection& connection);
   void Forget(IngressConnection& connection);
   /// @brief Closes connections whose request takes too long, and reports refusals to the log. To be
   /// called now and then. Complexity: constant if no request is unfinished.
--- a/include/sapphireflow/transport/peer_links.h
+++ b/include/sapphireflow/transport/peer_links.h
@@ -8,6 +8,7 @@
 
 #include "sapphireflow/model/address.h"
 #include "sapphireflow/model/error.h"
+#include "sapphireflow/transport/ingress_gate.h"
 
 namespace sapphireflow {
 
@@ -27,7 +28,9 @@
   /// @param self address to listen on
   /// @param key shared secret; links from peers that do not present it are rejected
   /// @param listener must outlive the links
-  PeerLinks(const Address& self, const std::string& key, PeerListener& listener);
+  /// @param gate limits incoming connections; must outlive the links; null for no limits
+  PeerLinks(const Address& self, const std::string& key, PeerListener& listener,
+            IngressGate* gate = nullptr);
   ~PeerLinks();
   PeerLinks(const PeerLinks&) = delete;
   PeerLinks& operator=(const PeerLinks&) = delete;
--- a/src/admission/ingress_budget.cc
+++ b/src/admission/ingress_budget.cc
@@ -124,7 +124,9 @@
     --CountOf(listener);
     return IngressVerdict(IngressReason::kTooManyConnections, std::move(to_close));
   }
-  if (!TryHold(kConnectionBytes, m_limits.bytes())) {
+  const std::size_t base =
+      listener == IngressListener::kPeers ? kPeerConnectionBytes : kConnectionBytes;
+  if (!TryHold(base, m_limits.bytes())) {
     --CountOf(listener);
     const auto freed = CloseToFreeBytes(id, now);
     to_close.insert(to_close.end(), freed.begin(), freed.end());
@@ -133,7 +135,7 @@
   Connection connection;
   connection.listener = listener;
   connection.since = now;
-  connection.base_bytes = kConnectionBytes;
+  connection.base_bytes = base;
   Shard& shard = ShardOf(id);
   std::lock_guard<std::mutex> lock(shard.mutex);
   shard.connections.emplace(id, connection);
@@ -231,6 +233,13 @@
   if (!connection.reading) connection.since = now;
 }
 
+void IngressBudget::Trust(IngressId id) {
+  Shard& shard = ShardOf(id);
+  std::lock_guard<std::mutex> lock(shard.mutex);
+  const auto found = shard.connections.find(id);
+  if (found != shard.connections.end()) found->second.trusted = true;
+}
+
 void IngressBudget::Close(IngressId id) {
   Shard& shard = ShardOf(id);
   std::lock_guard<std::mutex> lock(shard.mutex);
@@ -295,7 +304,7 @@
   for (const Shard& shard : m_shards) {
     std::lock_guard<std::mutex> lock(shard.mutex);
     for (const auto& [id, connection] : shard.connections) {
-      if (id == except || connection.closing || connection.unanswered > 0) continue;
+      if (id == except || !connection.Evictable()) continue;
       if (listener != nullptr && connection.listener != *listener) continue;
       victims.push_back({id, EvictionCandidate(connection.HeldBytes(), connection.since,
                                                connection.reading, connection.served)});
@@ -313,7 +322,7 @@
   const auto found = shard.connections.find(id);
   if (found == shard.connections.end()) return false;
   Connection& connection = found->second;
-  if (connection.closing || connection.unanswered > 0) return false;
+  if (!connection.Evictable()) return false;
   MarkClosing(connection);
   return true;
 }
--- a/src/settings/settings_entry.cc
+++ b/src/settings/settings_entry.cc
@@ -18,6 +18,26 @@
   return secret;
 }
 
+IngressLimits ReadIngress(YamlReader& reader) {
+  const RequestLimits defaults;
+  const auto size = [&reader](const char* key, std::size_t fallback, std::int64_t min,
+                              std::int64_t max) {
+    return static_cast<std::size_t>(
+        reader.Integer(key, static_cast<std::int64_t>(fallback), min, max));
+  };
+  const std::size_t memory_mb = size("memory_mb", EntryLimits::kDefaultMemoryMb, 64, 1 << 20);
+  const std::size_t descriptors =
+      size("max_fds", EntryLimits::kDefaultMaxDescriptors, 300, 1 << 20);
+  // the parser itself closes connections with heads of 80 KB
+  const RequestLimits request(
+      size("max_head_bytes", defaults.head_bytes(), 4096, 80 << 10),
+      size("max_head_fields", defaults.fields(), 32, 4096),
+      size("max_chunks", defaults.chunks(), 64, 1 << 20),
+      reader.Millis("head_timeout_ms", defaults.head_timeout(), 1000, kMaxMillis),
+      reader.Millis("body_timeout_ms", defaults.body_timeout(), 1000, kMaxMillis));
+  return IngressLimits::ForMachine(memory_mb, descriptors, request);
+}
+
 EntryLimits ReadLimits(YamlReader& reader) {
   const EntryLimits defaults;
   return {
@@ -27,7 +47,8 @@
       static_cast<std::size_t>(reader.Integer(
           "max_body_bytes", static_cast<std::int64_t>(defaults.max_body_bytes()), 1024, 8 << 20)),
       reader.Millis("drain_limit_ms", defaults.drain_limit(), 1, kMaxMillis),
-      reader.Text("log_file", "")};
+      reader.Text("log_file", ""),
+      ReadIngress(reader)};
 }
 
 ShardOptions ReadPolicies(YamlReader& reader) {
--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -47,7 +47,7 @@
                  [&log](const std::string& reason) {
                    log.Write(LogEvent(LogLevel::kError, "timer_failed", {{"why", reason}}));
                  }),
-        m_links(service_options.peer_listener(), kPeerKey, m_listener),
+        m_links(service_options.peer_listener(), kPeerKey, m_listener, &m_gate),
         m_runner(m_node, m_clock, workers, m_links, m_replies, format, metrics, log),
         m_interest(m_node, m_clock),
         m_directory(m_listing, store, m_interest, m_runner, m_clock, m_timers, log) {
--- a/src/transport/entry_http.cc
+++ b/src/transport/entry_http.cc
@@ -37,7 +37,7 @@
 
 EntryHttp::EntryHttp(Sink<NodeEvent>& events, const Node& node, const Clock& clock,
                      PendingReplies& replies, const JobIdCodec& id_codec, Metrics& metrics,
-                     std::string operator_key, std::size_t max_body_bytes)
+                     std::string operator_key, std::size_t max_body_bytes, const IngressGate& gate)
     : m_events(events),
       m_node(node),
       m_clock(clock),
@@ -45,7 +45,8 @@
       m_id_codec(id_codec),
       m_metrics(metrics),
       m_operator_authorization("Bearer " + std::move(operator_key)),
-      m_max_body_bytes(max_body_bytes) {}
+      m_max_body_bytes(max_body_bytes),
+      m_gate(gate) {}
 
 bool EntryHttp::IsOperator(const HttpRequest& request) const {
   return request.authorization() == m_operator_authorization;
@@ -92,7 +93,7 @@
     const Instant now = m_clock.Now();
     responder->Respond(HttpResponse(kOk, EncodeStatus(m_node.Status(now), now)));
   } else if (get && request.path() == "/metrics") {
-    MetricsPage(m_metrics).Handle(request, responder);
+    MetricsPage(m_metrics, &m_gate).Handle(request, responder);
   } else if (get && request.path() == "/v1/table") {
     responder->Respond(HttpResponse(kOk, EncodeTableView(m_node.CurrentTable())));
   } else if (request.method() == "PUT" && request.path() == "/v1/table") {
--- a/src/transport/entry_service.cc
+++ b/src/transport/entry_service.cc
@@ -33,6 +33,7 @@
 // time for responses already passed to the sockets to be sent
 constexpr Duration kFlushTime = std::chrono::milliseconds(300);
 constexpr int kOk = 200;
+constexpr char kEvictionOrder[] = "held-longest";
 
 NodeOptions MakeNodeOptions(const EntrySettings& settings, Instant now) {
   const NodeId self(settings.addresses().peer(), NewIncarnation(now));
@@ -59,13 +60,15 @@
         m_node(m_options),
         m_timers(m_clock),
         m_http_client(settings.limits().worker_threads()),
-        m_links(settings.addresses().peer(), settings.peer_key(), *this),
+        m_gate(settings.limits().ingress(), kEvictionOrder, m_clock, m_metrics, log),
+        m_links(settings.addresses().peer(), settings.peer_key(), *this, &m_gate),
         m_runner(m_node, m_clock, m_timers, m_http_client, m_links, m_replies, m_id_codec,
                  m_metrics, log, settings.addresses().platform(),
                  [this](bool handed_over) { m_drained.set_value(handed_over); }),
         m_http(m_runner, m_node, m_clock, m_replies, m_id_codec, m_metrics, settings.operator_key(),
-               settings.limits().max_body_bytes()),
-        m_server(settings.addresses().http(), settings.limits().http_threads(), m_http) {}
+               settings.limits().max_body_bytes(), m_gate),
+        m_server(settings.addresses().http(), settings.limits().http_threads(), m_http, &m_gate,
+                 IngressListener::kCallers) {}
 
   ~Impl() override { Stop(); }
 
@@ -113,6 +116,7 @@
  private:
   void ScheduleNextHeartbeat() {
     m_runner.Accept(HeartbeatTick());
+    m_gate.Sweep();
     m_timers.At(m_clock.Now() + m_settings.membership().heartbeat_interval(),
                 [this] { ScheduleNextHeartbeat(); });
   }
@@ -156,6 +160,8 @@
   Node m_node;
   TimerThread m_timers;
   HttpClient m_http_client;
+  // outlives the links, the server and their connections
+  IngressGate m_gate;
   PeerLinks m_links;
   EffectRunner m_runner;
   EntryHttp m_http;
--- a/src/transport/ingress_gate.cc
+++ b/src/transport/ingress_gate.cc
@@ -96,6 +96,8 @@
   m_budget.Answered(connection.id(), m_clock.Now());
 }
 
+void IngressGate::Trust(IngressConnection& connection) { m_budget.Trust(connection.id()); }
+
 void IngressGate::Forget(IngressConnection& connection) {
   m_budget.Close(connection.id());
   std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -18,7 +18,15 @@
 namespace sapphireflow {
 namespace {
 
-using Server = websocketpp::server<websocketpp::config::asio>;
+// adds to each incoming connection what it counts for in the limits on clients
+struct ServerConfig : public websocketpp::config::asio {
+  // name required by websocketpp
+  struct connection_base {  // NOLINT(readability-identifier-naming)
+    IngressConnectionPtr ingress;
+  };
+};
+
+using Server = websocketpp::server<ServerConfig>;
 using Client = websocketpp::client<websocketpp::config::asio_client>;
 using websocketpp::connection_hdl;
 
@@ -27,6 +35,8 @@
 // network partition
 constexpr unsigned int kTcpUserTimeoutMs = 2000;
 constexpr std::size_t kMaxMessageBytes = 8U << 20;
+// of a request that is not the handshake of a link; a handshake has none
+constexpr std::size_t kMaxHttpBodyBytes = 1024;
 // messages queued while a link is being opened; further messages are dropped
 constexpr std::size_t kMaxPendingMessages = 10000;
 
@@ -42,8 +52,8 @@
 
 class PeerLinks::Impl {
  public:
-  Impl(const Address& self, const std::string& key, PeerListener& listener)
-      : m_self(self), m_authorization("Bearer " + key), m_listener(listener) {}
+  Impl(const Address& self, const std::string& key, PeerListener& listener, IngressGate* gate)
+      : m_self(self), m_authorization("Bearer " + key), m_listener(listener), m_gate(gate) {}
 
   ~Impl() { Stop(); }
 
@@ -118,6 +128,8 @@
     m_server.init_asio(&m_context);
     m_server.set_reuse_addr(true);
     m_server.set_max_message_size(kMaxMessageBytes);
+    m_server.set_max_http_body_size(kMaxHttpBodyBytes);
+    if (m_gate != nullptr) LimitServer();
     m_server.set_validate_handler([this](const connection_hdl& handle) {
       const auto connection = m_server.get_con_from_hdl(handle);
       return connection->get_request_header("Authorization") == m_authorization;
@@ -128,6 +140,29 @@
         });
   }
 
+  // Unfinished handshakes may be closed for new ones, links never.
+  void LimitServer() {
+    m_server.set_tcp_post_init_handler([this](const connection_hdl& handle) {
+      const auto connection = m_server.get_con_from_hdl(handle);
+      auto& socket = connection->get_raw_socket();
+      connection->ingress = m_gate->Open(IngressListener::kPeers, socket.native_handle());
+      websocketpp::lib::asio::error_code ignored;
+      // the handshake's first read fails then
+      if (!connection->ingress) socket.close(ignored);
+    });
+    m_server.set_open_handler([this](const connection_hdl& handle) {
+      const auto connection = m_server.get_con_from_hdl(handle);
+      if (connection->ingress) m_gate->Trust(*connection->ingress);
+    });
+    m_server.set_close_handler([this](const connection_hdl& handle) { Forget(handle); });
+    m_server.set_fail_handler([this](const connection_hdl& handle) { Forget(handle); });
+  }
+
+  void Forget(const connection_hdl& handle) {
+    const auto connection = m_server.get_con_from_hdl(handle);
+    if (connection->ingress) connection->ingress->Close();
+  }
+
   void SetUpClient() {
     m_client.clear_access_channels(websocketpp::log::alevel::all);
     m_client.clear_error_channels(websocketpp::log::elevel::all);
@@ -198,6 +233,8 @@
   const Address m_self;
   const std::string m_authorization;
   PeerListener& m_listener;
+  // may be null
+  IngressGate* const m_gate;
   websocketpp::lib::asio::io_service m_context;
   Server m_server;
   Client m_client;
@@ -207,8 +244,9 @@
   std::vector<std::thread> m_threads;
 };
 
-PeerLinks::PeerLinks(const Address& self, const std::string& key, PeerListener& listener)
-    : m_impl(std::make_unique<Impl>(self, key, listener)) {}
+PeerLinks::PeerLinks(const Address& self, const std::string& key, PeerListener& listener,
+                     IngressGate* gate)
+    : m_impl(std::make_unique<Impl>(self, key, listener, gate)) {}
 
 PeerLinks::~PeerLinks() = default;
 
