Give refused clients the stable error ids

A body over the limit got 413 without SF1002, which the unit test "invalid requests get errors with stable ids" caught. Refusals carry the id of their reason, and up to 4 MiB are discarded so that the answer is read. The gate of sapphireflow-entry outlives the requests that wait there.

--- a/src/transport/entry_service.cc
+++ b/src/transport/entry_service.cc
@@ -56,11 +56,11 @@
       : m_settings(settings),
         m_log(log),
         m_id_codec(settings.peer_key()),
+        m_gate(settings.limits().ingress(), kEvictionOrder, m_clock, m_metrics, log),
         m_options(MakeNodeOptions(settings, m_clock.Now())),
         m_node(m_options),
         m_timers(m_clock),
         m_http_client(settings.limits().worker_threads()),
-        m_gate(settings.limits().ingress(), kEvictionOrder, m_clock, m_metrics, log),
         m_links(settings.addresses().peer(), settings.peer_key(), *this, &m_gate),
         m_runner(m_node, m_clock, m_timers, m_http_client, m_links, m_replies, m_id_codec,
                  m_metrics, log, settings.addresses().platform(),
@@ -154,14 +154,14 @@
   const MonotonicClock m_clock;
   const JobIdCodec m_id_codec;
   Metrics m_metrics;
+  // outlives the links, the server, and the requests that wait for their answers
+  IngressGate m_gate;
   PendingReplies m_replies;
   std::promise<bool> m_drained;
   const NodeOptions m_options;
   Node m_node;
   TimerThread m_timers;
   HttpClient m_http_client;
-  // outlives the links, the server and their connections
-  IngressGate m_gate;
   PeerLinks m_links;
   EffectRunner m_runner;
   EntryHttp m_http;
--- a/src/transport/guarded_socket.cc
+++ b/src/transport/guarded_socket.cc
@@ -6,7 +6,7 @@
 
 // A connection that is closed with unread bytes is reset, and the client may lose the answer. More
 // than this is not read for a refused request.
-constexpr std::size_t kMaxDiscardedBytes = 1U << 20;
+constexpr std::size_t kMaxDiscardedBytes = 4U << 20;
 
 }  // namespace
 
--- a/src/transport/ingress_gate.cc
+++ b/src/transport/ingress_gate.cc
@@ -3,6 +3,8 @@
 
 #include <sys/socket.h>
 
+#include "sapphireflow/model/error.h"
+
 namespace sapphireflow {
 namespace {
 
@@ -23,10 +25,25 @@
   }
 }
 
+ErrorId ErrorIdOf(IngressReason reason) {
+  switch (reason) {
+    case IngressReason::kBodyTooLarge:
+    case IngressReason::kTooManyChunks:
+      return ErrorId::kBodyTooLarge;
+    case IngressReason::kHeadTooLarge:
+    case IngressReason::kTooSlow:
+      return ErrorId::kMalformedRequest;
+    default:
+      return ErrorId::kLimitReached;
+  }
+}
+
 std::string RefusalText(IngressReason reason) {
   const int status = HttpStatusOf(reason);
-  const std::string body = std::string("{\"error\":{\"message\":\"refused: ") + NameOf(reason) +
-                           "; the request was not handled\"}}";
+  const Error error(ErrorIdOf(reason),
+                    std::string("refused: ") + NameOf(reason) + "; the request was not handled");
+  const std::string body =
+      R"({"error":{"id":")" + error.code() + R"(","message":")" + error.message() + R"("}})";
   return "HTTP/1.1 " + std::to_string(status) + " " + ReasonPhrase(status) +
          "\r\nContent-Type: application/json\r\nRetry-After: 1\r\nConnection: close\r\n"
          "Content-Length: " +
