Start waiting runs by priority, then runs of jobs that have begun

LeastSlackOrder ignores the priority, so that under load a job of priority 0 waits behind jobs of any other, and new jobs delay those that have begun. The new order priority-slack is the default of sapphireflow-dispatch: runs that can still end before their deadline, by priority, then runs of jobs that have begun, then least slack. The coordinator tells the owner in PlaceRuns whether the job has begun; an earlier version that does not is read as not begun. The owner notes by itself when a run of the job starts there.

--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -78,8 +78,8 @@
           settings.zone(), settings.milli_cores(), addresses.callers(), addresses.readiness(),
           addresses.peers(), addresses.peer_listener(), settings.stop_grace(), metrics_address),
       sapphireflow::DispatchSettings(settings.lease_limits(), settings.drain_timeout(),
-                                     settings.remote_factor(), "least-slack", "slowest-sufficient",
-                                     "consecutive-failures"),
+                                     settings.remote_factor(), "priority-slack",
+                                     "slowest-sufficient", "consecutive-failures"),
       store, workers, format, metrics, log);
   sapphireflow::platform::JobHttpHandler callers(service.node(), service.events(),
                                                  service.replies(), format);
--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -72,7 +72,7 @@
   PlaceRuns(const NodeId& coordinator, std::string service,
             std::shared_ptr<const std::string> payload, Duration time_to_objective,
             Duration time_to_deadline, std::uint32_t priority, std::vector<RunOrder> runs,
-            std::string queue = "", std::uint64_t echo = 0)
+            std::string queue = "", std::uint64_t echo = 0, bool job_begun = false)
       : m_coordinator(coordinator),
         m_service(std::move(service)),
         m_payload(std::move(payload)),
@@ -81,12 +81,13 @@
         m_priority(priority),
         m_runs(std::move(runs)),
         m_queue(std::move(queue)),
-        m_echo(echo) {}
+        m_echo(echo),
+        m_job_begun(job_begun) {}
   /// @brief Returns a copy with the given echo.
   PlaceRuns WithEcho(std::uint64_t echo) const {
     return {
         m_coordinator, m_service, m_payload, m_time_to_objective, m_time_to_deadline, m_priority,
-        m_runs,        m_queue,   echo};
+        m_runs,        m_queue,   echo,      m_job_begun};
   }
   const NodeId& coordinator() const { return m_coordinator; }
   const std::string& service() const { return m_service; }
@@ -102,9 +103,12 @@
   /// @brief Sequence number of the latest heartbeat that the coordinator received from the owner.
   /// The owner derives from it an upper bound of the message's age by its own clock.
   std::uint64_t echo() const { return m_echo; }
+  /// @brief Whether a run of the job may have started; false if the coordinator runs an earlier
+  /// version.
+  bool job_begun() const { return m_job_begun; }
   auto Fields() const {
     return std::tie(m_coordinator, m_service, *m_payload, m_time_to_objective, m_time_to_deadline,
-                    m_priority, m_runs, m_queue, m_echo);
+                    m_priority, m_runs, m_queue, m_echo, m_job_begun);
   }
 
  private:
@@ -118,6 +122,7 @@
   std::vector<RunOrder> m_runs;
   std::string m_queue;
   std::uint64_t m_echo;
+  bool m_job_begun;
 };
 
 /// @brief Coordinator to owner: request to drop these runs, and to stop those that have started.
--- a/include/sapphireflow/ownership/start_order_policy.h
+++ b/include/sapphireflow/ownership/start_order_policy.h
@@ -15,7 +15,8 @@
  public:
   WaitingRun(RunOrder order, const NodeId& coordinator, std::string service, std::string queue,
              std::shared_ptr<const std::string> payload, std::uint32_t priority,
-             Instant queued_since, Instant objective_at, Instant useful_until, Instant wanted_at)
+             Instant queued_since, Instant objective_at, Instant useful_until, Instant wanted_at,
+             bool job_begun = false)
       : m_order(std::move(order)),
         m_coordinator(coordinator),
         m_service(std::move(service)),
@@ -25,7 +26,14 @@
         m_queued_since(queued_since),
         m_objective_at(objective_at),
         m_useful_until(useful_until),
-        m_wanted_at(wanted_at) {}
+        m_wanted_at(wanted_at),
+        m_job_begun(job_begun) {}
+  /// @brief Returns a copy for a job of which a run has started.
+  WaitingRun WithJobBegun() const {
+    WaitingRun copy(*this);
+    copy.m_job_begun = true;
+    return copy;
+  }
   const RunOrder& order() const { return m_order; }
   const NodeId& coordinator() const { return m_coordinator; }
   const std::string& service() const { return m_service; }
@@ -39,9 +47,11 @@
   Instant useful_until() const { return m_useful_until; }
   /// @brief When the coordinator certainly wanted the run, by what its order echoes.
   Instant wanted_at() const { return m_wanted_at; }
+  /// @brief Whether a run of the job may have started.
+  bool job_begun() const { return m_job_begun; }
   auto Fields() const {
     return std::tie(m_order, m_coordinator, m_service, m_queue, *m_payload, m_priority,
-                    m_queued_since, m_objective_at, m_useful_until, m_wanted_at);
+                    m_queued_since, m_objective_at, m_useful_until, m_wanted_at, m_job_begun);
   }
 
  private:
@@ -56,8 +66,12 @@
   Instant m_objective_at;
   Instant m_useful_until;
   Instant m_wanted_at;
+  bool m_job_begun;
 };
 
+/// @brief Whether the run can end before its caller's deadline, if it is as short as is plausible.
+bool CanEndInTime(const WaitingRun& waiting, Instant now);
+
 /// @brief Policy that orders waiting runs.
 class StartOrderPolicy {
  public:
@@ -78,6 +92,16 @@
   bool Before(const WaitingRun& a, const WaitingRun& b, Instant now) const override;
 };
 
+/// @brief Highest priority first; within a priority, runs of jobs that have begun before others,
+/// then as `LeastSlackOrder`. Runs that cannot end before their deadline come after all others.
+///
+/// For runs of one priority and of jobs that have not begun, which can all end before their
+/// deadline, the order is that of `LeastSlackOrder`.
+class PrioritySlackOrder : public StartOrderPolicy {
+ public:
+  bool Before(const WaitingRun& a, const WaitingRun& b, Instant now) const override;
+};
+
 /// @brief Creates a policy by its name in the settings. @return null for an unknown name.
 std::unique_ptr<StartOrderPolicy> MakeStartOrderPolicy(const std::string& name);
 
--- a/include/sapphireflow/settings/dispatch_settings.h
+++ b/include/sapphireflow/settings/dispatch_settings.h
@@ -25,7 +25,7 @@
   Duration drain_timeout() const { return m_drain_timeout; }
   /// @brief Factor by which a task takes longer outside the rack of its data.
   double remote_factor() const { return m_remote_factor; }
-  /// @brief `least-slack` or `arrival`.
+  /// @brief `priority-slack`, `least-slack` or `arrival`.
   const std::string& start_order() const { return m_start_order; }
   /// @brief `slowest-sufficient`, `earliest-end` or `nearest`.
   const std::string& owner_choice() const { return m_owner_choice; }
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -145,7 +145,8 @@
           m.priority(),
           WriteAll(m.runs()),
           m.echo(),
-          m.queue()};
+          m.queue(),
+          m.job_begun()};
 }
 Json Body(const CancelRuns& m) {
   return {detail::Write(m.coordinator()), m.service(), WriteAll(m.runs())};
@@ -230,7 +231,8 @@
                    ReadDuration(j.at(3)), ReadDuration(j.at(4)), j.at(5).get<std::uint32_t>(),
                    ReadList(j.at(6), ReadRunOrder),
                    // not sent by earlier versions
-                   j.size() > 8 ? j.at(8).get<std::string>() : "", j.at(7).get<std::uint64_t>());
+                   j.size() > 8 ? j.at(8).get<std::string>() : "", j.at(7).get<std::uint64_t>(),
+                   j.size() > 9 && j.at(9).get<bool>());
 }
 DispatchMessage ReadCancelRuns(const Json& j) {
   return CancelRuns(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -292,10 +292,10 @@
   }
   const Duration elapsed = now - job.received_at;
   for (auto& [owner, runs] : batches) {
-    out.emplace_back(
-        SendToOwner(owner, PlaceRuns(m_self, order.service(), order.payload(),
-                                     order.objective() - elapsed, order.answer_timeout() - elapsed,
-                                     order.priority(), std::move(runs), order.queue())));
+    out.emplace_back(SendToOwner(
+        owner, PlaceRuns(m_self, order.service(), order.payload(), order.objective() - elapsed,
+                         order.answer_timeout() - elapsed, order.priority(), std::move(runs),
+                         order.queue(), 0, job.may_have_run)));
   }
 }
 
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -173,7 +173,7 @@
     StopReplacedRuns(order.run(), event.coordinator());
     m_waiting.emplace_back(order, event.coordinator(), event.service(), event.queue(),
                            event.payload(), event.priority(), now, now + event.time_to_objective(),
-                           now + event.time_to_deadline(), wanted_at);
+                           now + event.time_to_deadline(), wanted_at, event.job_begun());
   }
   StartWaiting(now, out);
   RedirectNewRuns();
@@ -315,19 +315,6 @@
   }
 }
 
-void OwnerShard::StopOrphans(OwnedWorker& owned, Instant now, OwnerEffects& out) {
-  for (const detail::OrphanedRun& orphan : owned.session.CancelOrphans(now)) {
-    out.emplace_back(LogEvent(
-        LogLevel::kWarning, "orphan_stopped",
-        detail::RunFields(
-            orphan.run(),
-            {{"worker", owned.session.listing().id()},
-             {"coordinator", orphan.coordinator().text()},
-             {"silent_ms", MillisText(now - m_liveness.AliveAt(orphan.coordinator(), now))},
-             {"unconfirmed_ms", MillisText(now - orphan.wanted_at())}})));
-  }
-}
-
 void OwnerShard::ApplyDelta(OwnedWorker& owned, const Delta& delta, Instant now,
                             OwnerEffects& out) {
   const WorkerId& id = owned.session.listing().id();
@@ -366,27 +353,6 @@
                              {"retry_in_ms", MillisText(owned.reacquire_at - now)}}));
 }
 
-void OwnerShard::LogLoss(const OwnedWorker& owned, const WorkerLoss& loss, Instant now,
-                         OwnerEffects& out) const {
-  const Session& session = owned.session;
-  std::string tasks;
-  for (const TaskAtLoss& lost : loss.tasks()) {
-    const TaskKey& task = lost.task();
-    if (!tasks.empty()) tasks += ',';
-    tasks += detail::JobKeyText(task.job()) + '.' + std::to_string(task.step()) + '.' +
-             std::to_string(task.index());
-    tasks += std::string("(") + LossRoleName(lost.role()) + ")";
-  }
-  const auto sign = session.first_sign();
-  out.emplace_back(LogEvent(LogLevel::kWarning, "worker_runs_lost",
-                            {{"worker", loss.incarnation().worker()},
-                             {"state", LossStateName(loss.state())},
-                             {"first_sign", sign ? CallOutcomeName(*sign) : ""},
-                             {"silent_ms", sign ? MillisText(now - session.first_sign_at()) : ""},
-                             {"queue", loss.queue()},
-                             {"tasks", tasks}}));
-}
-
 void OwnerShard::RedirectNewRuns() {
   const auto first_removed =
       std::stable_partition(m_waiting.begin(), m_waiting.end(), [this](const WaitingRun& waiting) {
@@ -438,10 +404,20 @@
   std::vector<WaitingRun> kept;
   kept.reserve(m_waiting.size());
   const std::set<WorkerId> reserved = ReserveForLoneRuns(now);
+  std::set<JobKey> begun;
   for (WaitingRun& waiting : m_waiting) {
-    if (!TryStart(waiting, reserved, now, out)) kept.push_back(std::move(waiting));
+    if (TryStart(waiting, reserved, now, out)) {
+      begun.insert(waiting.order().run().task().job());
+    } else {
+      kept.push_back(std::move(waiting));
+    }
   }
   m_waiting.swap(kept);
+  if (begun.empty()) return;
+  for (WaitingRun& waiting : m_waiting) {
+    if (waiting.job_begun() || begun.count(waiting.order().run().task().job()) == 0) continue;
+    waiting = waiting.WithJobBegun();
+  }
 }
 
 bool OwnerShard::IsEligible(const OwnedWorker& owned, const WaitingRun& waiting,
@@ -491,12 +467,6 @@
   return reserved;
 }
 
-bool OwnerShard::IsOrphaned(const WaitingRun& waiting, Instant now) const {
-  const Instant wanted_at = std::max(
-      waiting.wanted_at(), m_liveness.WantedAt(waiting.coordinator(), waiting.order().run(), now));
-  return now - wanted_at >= m_limits.orphan_stop_after();
-}
-
 void OwnerShard::StopReplacedRuns(const RunKey& run, const NodeId& coordinator) {
   for (auto& [id, owned] : m_workers) {
     const auto other = owned.session.RunOf(run.task());
@@ -537,14 +507,6 @@
   return start_on_one(false) || (exposed && start_on_one(true));
 }
 
-void OwnerShard::ReportAnswersOfSuspects(const OwnedWorker& owned, OwnerEffects& out) const {
-  const Session& session = owned.session;
-  if (session.phase() != Session::Phase::kHeld || session.first_sign()) return;
-  const WorkerIncarnation incarnation(session.listing());
-  if (!m_crashes.IsSuspected(incarnation, session.answered_at())) return;
-  out.emplace_back(WorkerLoss(incarnation, LossState::kCutOff, 0, "", {}));
-}
-
 void OwnerShard::SendStopsAndRenewals(Instant now, OwnerEffects& out) {
   for (auto& [id, owned] : m_workers) {
     for (StopRun& stop : owned.session.DueStops(m_next_call, now)) {
--- a/src/ownership/start_order_policy.cc
+++ b/src/ownership/start_order_policy.cc
@@ -3,8 +3,14 @@
 
 #include <tuple>
 
+#include "sapphireflow/dispatch/shortest_run_time.h"
+
 namespace sapphireflow {
 
+bool CanEndInTime(const WaitingRun& waiting, Instant now) {
+  return now + ShortestRunTime(waiting.order().estimate()) <= waiting.useful_until();
+}
+
 bool ArrivalOrder::Before(const WaitingRun& a, const WaitingRun& b, Instant /*now*/) const {
   return a.queued_since() < b.queued_since();
 }
@@ -16,9 +22,19 @@
          std::make_tuple(latest_b < now, latest_b, b.queued_since());
 }
 
+bool PrioritySlackOrder::Before(const WaitingRun& a, const WaitingRun& b, Instant now) const {
+  const auto rank = [now](const WaitingRun& waiting) {
+    const Instant latest = waiting.objective_at() - waiting.order().estimate();
+    return std::make_tuple(!CanEndInTime(waiting, now), waiting.priority(), !waiting.job_begun(),
+                           latest < now, latest, waiting.queued_since());
+  };
+  return rank(a) < rank(b);
+}
+
 std::unique_ptr<StartOrderPolicy> MakeStartOrderPolicy(const std::string& name) {
   if (name == "arrival") return std::make_unique<ArrivalOrder>();
   if (name == "least-slack") return std::make_unique<LeastSlackOrder>();
+  if (name == "priority-slack") return std::make_unique<PrioritySlackOrder>();
   return nullptr;
 }
 
--- a/tests/unit/unit-dispatch_codec.cpp
+++ b/tests/unit/unit-dispatch_codec.cpp
@@ -28,7 +28,8 @@
                               kLength, 16000);
   CheckDispatchRoundTrip(PlaceRuns(
       kNode, "workshop", std::make_shared<const std::string>("payload"), -kLength, kLength, 2,
-      {RunOrder(kRun, Resources(6000, 64, 1), kLength, "a", "r1", 3, {"w1"}, 1, true)}, "q", 99));
+      {RunOrder(kRun, Resources(6000, 64, 1), kLength, "a", "r1", 3, {"w1"}, 1, true)}, "q", 99,
+      true));
   CheckDispatchRoundTrip(CancelRuns(kNode, "workshop", {kRun, kRun}));
   CheckDispatchRoundTrip(
       AdoptRun(kNode, "workshop", "w1", kRun, Resources(6000, 64, 0), kLength, 97, true, true, 98));
