Decline runs that cannot end in time, and spare workers that leave

An owner held a waiting run until its deadline and started it also with no time left, and a worker that had announced its end got runs that ended with it.

--- a/include/sapphireflow/model/worker_listing.h
+++ b/include/sapphireflow/model/worker_listing.h
@@ -13,6 +13,7 @@
 #include "sapphireflow/model/address.h"
 #include "sapphireflow/model/comparable.h"
 #include "sapphireflow/model/job_order.h"
+#include "sapphireflow/model/time.h"
 
 namespace sapphireflow {
 
@@ -32,6 +33,12 @@
         m_capacity(capacity),
         m_process_start_ms(process_start_ms),
         m_draining(draining) {}
+  /// @brief Returns a copy for a worker that leaves with notice.
+  WorkerListing WithTimeLeft(Duration time_left) const {
+    WorkerListing copy(*this);
+    copy.m_time_left = time_left;
+    return copy;
+  }
   const WorkerId& id() const { return m_id; }
   const Address& address() const { return m_address; }
   const std::string& service() const { return m_service; }
@@ -44,12 +51,14 @@
   std::int64_t process_start_ms() const { return m_process_start_ms; }
   /// @brief True if the worker must not receive new runs.
   bool draining() const { return m_draining; }
+  /// @brief The least time for which the worker stays, as of its entry; empty if it does not leave.
+  const std::optional<Duration>& time_left() const { return m_time_left; }
   bool HasLabel(const std::string& label) const {
     return std::find(m_labels.begin(), m_labels.end(), label) != m_labels.end();
   }
   auto Fields() const {
     return std::tie(m_id, m_address, m_service, m_zone, m_labels, m_capacity, m_process_start_ms,
-                    m_draining);
+                    m_draining, m_time_left);
   }
 
  private:
@@ -61,6 +70,7 @@
   Resources m_capacity;
   std::int64_t m_process_start_ms;
   bool m_draining;
+  std::optional<Duration> m_time_left;
 };
 
 using WorkerListings = std::vector<WorkerListing>;
--- a/include/sapphireflow/ownership/owner_shard.h
+++ b/include/sapphireflow/ownership/owner_shard.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -82,6 +83,8 @@
     std::uint32_t refusals = 0;
     // earliest time to reacquire the worker after a refusal
     Instant reacquire_at{};
+    // when the worker may leave at the earliest, by its notice; empty without one
+    std::optional<Instant> leaves_at;
   };
 
   void On(const WorkerAssignment& event, Instant now, OwnerEffects& out);
@@ -102,6 +105,13 @@
   // declines new runs that do not fit here if another owner advertises enough free capacity
   void RedirectNewRuns();
   void DeclineOverdue(Instant now);
+  // declines the waiting runs that cannot end before their deadlines. Complexity: linear in the
+  // waiting runs, and in the workers if any run is in question.
+  void DeclineHopeless(Instant now, OwnerEffects& out);
+  // takes over the notice of the worker's listing
+  static void UpdateNotice(OwnedWorker& owned, Instant now);
+  // whether the worker stays until a run of this length ends
+  bool StaysFor(const OwnedWorker& owned, Duration estimate, Instant now) const;
   // Stops the runs that their coordinators have not confirmed lately. They, or callers whose
   // coordinators have ended, are about to start them again.
   void StopOrphans(OwnedWorker& owned, Instant now, OwnerEffects& out);
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -133,15 +133,19 @@
           listing.labels(),
           Write(listing.capacity()),
           listing.process_start_ms(),
-          listing.draining()};
+          listing.draining(),
+          listing.time_left() ? Write(*listing.time_left()) : Json()};
 }
 WorkerChange ReadWorkerChange(const Json& json) {
   const auto id = json.at(0).get<std::string>();
   if (json.size() == 1) return {id, std::nullopt};
-  return {id, WorkerListing(id, detail::ReadAddress(json.at(1)), json.at(2).get<std::string>(),
-                            json.at(3).get<std::string>(),
-                            json.at(4).get<std::vector<std::string>>(), ReadResources(json.at(5)),
-                            json.at(6).get<std::int64_t>(), json.at(7).get<bool>())};
+  const WorkerListing listing(id, detail::ReadAddress(json.at(1)), json.at(2).get<std::string>(),
+                              json.at(3).get<std::string>(),
+                              json.at(4).get<std::vector<std::string>>(), ReadResources(json.at(5)),
+                              json.at(6).get<std::int64_t>(), json.at(7).get<bool>());
+  // not sent by earlier versions
+  if (json.size() <= 8 || json.at(8).is_null()) return {id, listing};
+  return {id, listing.WithTimeLeft(ReadDuration(json.at(8)))};
 }
 
 Json Body(const PlaceRuns& m) {
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -110,7 +110,10 @@
         owned.session.phase() != Session::Phase::kTerminated &&
         found->second->process_start_ms() < owned.session.listing().process_start_ms();
     if (same_incarnation || earlier_incarnation) {
-      if (same_incarnation) owned.session.UpdateListing(*found->second);
+      if (same_incarnation) {
+        owned.session.UpdateListing(*found->second);
+        UpdateNotice(owned, now);
+      }
       assigned_listings.erase(found);
       ++item;
       continue;
@@ -133,8 +136,11 @@
   for (auto& [id, owned] : m_workers) owned.standby = standby_workers.count(id) > 0;
   for (const auto& [id, listing] : assigned_listings) {
     const FencingToken token = m_tokens.Next(now);
-    m_workers.emplace(id, OwnedWorker(*listing, token, m_limits, m_liveness, now))
-        .first->second.standby = standby_workers.count(id) > 0;
+    OwnedWorker& owned =
+        m_workers.emplace(id, OwnedWorker(*listing, token, m_limits, m_liveness, now))
+            .first->second;
+    owned.standby = standby_workers.count(id) > 0;
+    UpdateNotice(owned, now);
     out.emplace_back(LogEvent(LogLevel::kInfo, "worker_taken",
                               {{"worker", id}, {"token", std::to_string(token)}}));
   }
@@ -396,6 +402,7 @@
 }
 
 void OwnerShard::StartWaiting(Instant now, OwnerEffects& out) {
+  DeclineHopeless(now, out);
   if (m_waiting.empty()) return;
   const StartOrderPolicy& order = m_policies.order();
   std::stable_sort(
@@ -425,7 +432,7 @@
   const Session& session = owned.session;
   const RunOrder& order = waiting.order();
   if (!session.Usable() || session.listing().service() != waiting.service()) return false;
-  if (!session.HasLeaseForStart(now)) return false;
+  if (!session.HasLeaseForStart(now) || !StaysFor(owned, order.estimate(), now)) return false;
   if (!session.FreeCapacity().Covers(order.needs())) return false;
   if (order.alone() ? session.runs() > 0 : session.HasLoneRun()) return false;
   if (confinement && !confinement(session.listing().address())) return false;
--- a/tests/unit/unit-dispatch_codec.cpp
+++ b/tests/unit/unit-dispatch_codec.cpp
@@ -51,7 +51,9 @@
   const WorkerListing listing("w1", Address(10, 80), "workshop", "celaya", {"a", "r1"},
                               Resources(16000, 65536, 2), 1700000000000, true);
   CheckDispatchRoundTrip(WorkerListUpdate(
-      kNode, 4, 5, {WorkerChange("w1", listing), WorkerChange("w2", std::nullopt)}));
+      kNode, 4, 5,
+      {WorkerChange("w1", listing), WorkerChange("w1", listing.WithTimeLeft(kLength)),
+       WorkerChange("w2", std::nullopt)}));
   CheckDispatchRoundTrip(MemberHeartbeat(MemberListing(kNode, "celaya", 250), false, 1, 2, 3, 4, 5,
                                          true, WorkerListOffer(6, std::chrono::milliseconds(700))));
   CheckDispatchRoundTrip(MemberHeartbeat(MemberListing(kNode, "celaya", 250), false, 1, 2, 3, 4, 5,
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -73,11 +73,12 @@
 // An owner shard with a manual clock; records its effects by kind.
 class OwnerHarness {
  public:
-  explicit OwnerHarness(const std::string& outliers = "trusting")
+  explicit OwnerHarness(const std::string& outliers = "trusting",
+                        const std::string& start_order = "least-slack")
       : m_peer_capacity_view(kSelf, "celaya", MakeOwnerChoice("earliest-end")),
         m_tokens(kSelf),
         m_shard(kSelf, LeaseLimits(Millis(1000), Millis(1300)),
-                OwnerPolicies(MakeStartOrderPolicy("least-slack"),
+                OwnerPolicies(MakeStartOrderPolicy(start_order),
                               std::make_unique<SlowestSufficientChoice>(2.0),
                               MakeOutlierDetector(outliers)),
                 m_tokens, m_next_call, m_peer_capacity_view, crashes, liveness) {}
@@ -1164,3 +1165,63 @@
   owner.Feed(OwnerTick());
   CHECK(owner.ReportOf(Run(1))->transition() == RunTransition::kStarted);
 }
+
+// Guards against a worker that is given to work whose answer nobody can receive.
+TEST_CASE("a waiting run that can no longer end in time is declined before the next tick") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 10)});
+  owner.Feed(PlaceRuns(kCoordinator, kService, std::make_shared<const std::string>("payload"),
+                       Millis(60), Millis(60), 0,
+                       {RunOrder(Run(0), kTaskNeeds, Millis(121), "", "", 0, {})}, kQueue));
+  CHECK(owner.starts.empty());
+  REQUIRE(owner.ReportOf(Run(0)));
+  CHECK(owner.ReportOf(Run(0))->reason() == "cannot_end");
+  owner.Place({1, 2});
+  CHECK(owner.starts.size() == 2);
+  owner.Feed(PlaceRuns(kCoordinator, kService, std::make_shared<const std::string>("payload"),
+                       Millis(60), Millis(60), 0,
+                       {RunOrder(Run(3), kTaskNeeds, Millis(100), "", "", 0, {})}, kQueue));
+  CHECK_FALSE(owner.ReportOf(Run(3)));
+  owner.now += Millis(11);
+  owner.Feed(CancelRuns(kOtherCoordinator, kService, {}));
+  REQUIRE(owner.ReportOf(Run(3)));
+  CHECK(owner.ReportOf(Run(3))->transition() == RunTransition::kDeclined);
+  CHECK(owner.counts["late_runs_declined_total priority 0"] == 2);
+}
+
+// Guards against runs that are lost with a worker whose end was announced.
+TEST_CASE("a worker that leaves gets no run that does not end before") {
+  OwnerHarness owner;
+  const WorkerListing leaving = Listing("w1", 10).WithTimeLeft(Millis(150));
+  owner.AcquireWorkers({leaving});
+  owner.Place({0});
+  CHECK(owner.starts.size() == 1);
+  owner.now += Millis(60);
+  // the same entry, passed again, is not a new notice
+  owner.Feed(WorkerAssignment({leaving}, {}));
+  owner.Place({1});
+  CHECK(owner.starts.size() == 1);
+  SECTION("the notice is withdrawn") {
+    owner.Feed(WorkerAssignment({Listing("w1", 10)}, {}));
+    CHECK(owner.starts.size() == 2);
+  }
+}
+
+// Guards against a job of which one task waits for long behind new jobs.
+TEST_CASE("the waiting runs of a job come first once one of its runs has started") {
+  OwnerHarness owner("trusting", "priority-slack");
+  owner.AcquireWorkers({Listing("w1", 10)});
+  const auto order = [](JobKey job, std::uint32_t index, std::int64_t milli_cores) {
+    return RunOrder(RunKey(TaskKey(job, 0, 0, index), 1), Resources(milli_cores, 64, 0),
+                    Millis(100), "", "", 0, {});
+  };
+  owner.PlaceOrders({order(7, 0, 16000), order(7, 1, 16000)}, kCoordinator);
+  REQUIRE(owner.starts.size() == 1);
+  owner.Feed(PlaceRuns(kCoordinator, kService, std::make_shared<const std::string>("payload"),
+                       Millis(150), Millis(1500), 0, {order(8, 0, 16000)}, kQueue));
+  const RunKey first = owner.starts[0].run();
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  owner.AnswerRenewal({}, {EndedRun(1, first, RunEnd::kDone)});
+  REQUIRE(owner.starts.size() == 2);
+  CHECK(owner.starts[1].run().task().job() == 7);
+}
--- a/tests/unit/unit-platform.cpp
+++ b/tests/unit/unit-platform.cpp
@@ -55,6 +55,19 @@
 
 }  // namespace
 
+// Guards against runs that are started on a worker that is about to leave.
+TEST_CASE("a worker's entry tells how long the worker stays") {
+  const auto time_left = [](const std::string& field) {
+    const auto read = DecodeWorker(WorkerItem(WorkerEntryWith(R"("slots":8,)", field)));
+    REQUIRE(std::holds_alternative<WorkerListing>(read));
+    return std::get<WorkerListing>(read).time_left();
+  };
+  CHECK(time_left(R"("slots":8,)") == std::nullopt);
+  CHECK(time_left(R"("remaining_ms":0,)") == std::nullopt);
+  CHECK(time_left(R"("remaining_ms":2500,)") == std::chrono::milliseconds(2500));
+  CHECK(time_left(R"("remaining_ms":-40,)") == Duration::zero());
+}
+
 TEST_CASE("the platform's settings file is parsed, unknown fields are ignored") {
   const auto read = ReadPlatformSettings(kSettings, "boot.conf");
   REQUIRE(std::get_if<PlatformSettings>(&read) != nullptr);
