Refuse early only for a queue of higher priorities

A job that no owner has room for was refused after a quarter of its objective when the wait at each exceeded the objective. That wait is the one at the end of the queue: short jobs with little slack are at its front. Only runs of higher priorities count now, and an owner that does not tell them is no reason to refuse.

--- a/include/sapphireflow/dispatch/capacity_view.h
+++ b/include/sapphireflow/dispatch/capacity_view.h
@@ -63,9 +63,10 @@
   /// @brief Room for the tasks of the job's first step. Complexity: linear in the number of workers
   /// with free capacity, until those found have room for all tasks.
   StepRoom RoomFor(const JobOrder& order) const;
-  /// @brief Whether no owner has room for a task of the job's first step, and the wait at each is
-  /// longer than `wait`. Complexity: linear in the number of owners if any wait is shorter, else in
-  /// the number of workers with free capacity.
+  /// @brief Whether no owner has room for a task of the job's first step, and at each the wait for
+  /// the runs of higher priorities alone is longer than `wait`. False if an owner does not tell.
+  /// Complexity: linear in the number of owners if any wait is shorter, else in the number of
+  /// workers with free capacity.
   bool IsFullFor(const JobOrder& order, Duration wait) const;
   /// @brief Smallest ratio of expected to declared run time that was announced for a worker of the
   /// service; 1 if none was. Complexity: linear in the number of owners.
--- a/include/sapphireflow/dispatch/job_feasibility.h
+++ b/include/sapphireflow/dispatch/job_feasibility.h
@@ -81,7 +81,8 @@
   virtual bool CanEndInTime(const JobOrder& order, const std::vector<StepState>& states,
                             Duration time_left, double slowness) const = 0;
   /// @brief How long a job waits for its first start.
-  /// @param is_full whether no owner has room, and the wait at each exceeds the job's objective
+  /// @param is_full whether no owner has room, and at each the wait for the runs of higher
+  /// priorities exceeds the job's objective
   virtual Duration UnstartedLimit(const JobOrder& order, bool is_full) const = 0;
 };
 
--- a/src/dispatch/capacity_room.cc
+++ b/src/dispatch/capacity_room.cc
@@ -75,9 +75,13 @@
     return item.first.second == order.service() && item.second.milli_cores > 0;
   };
   std::lock_guard<std::mutex> lock(m_mutex);
+  // Runs of the same priority do not count: the job's own may be the first of them.
   const bool has_short_wait =
+      order.priority() == 0 ||
       std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
-        return is_asked(item) && WaitOf(item.second, order.priority()) <= wait;
+        const Entry& entry = item.second;
+        return is_asked(item) &&
+               (entry.priority_waits.empty() || WaitOf(entry, order.priority() - 1) <= wait);
       });
   if (has_short_wait) return false;
   const Resources& needs = order.steps().front().needs();
