--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -79,8 +79,9 @@
           addresses.peers(), addresses.peer_listener(), settings.stop_grace(), metrics_address,
           settings.ingress()),
       sapphireflow::DispatchSettings(settings.lease_limits(), settings.drain_timeout(),
-                                     settings.remote_factor(), "least-slack", "slowest-sufficient",
-                                     "consecutive-failures", settings.overload_control()),
+                                     settings.remote_factor(), "priority-slack",
+                                     "slowest-sufficient", "consecutive-failures", "whole-job",
+                                     settings.overload_control()),
       store, workers, format, metrics, log);
   http.MeasureDelay(service.overload().Listener(sapphireflow::EventLoop::kCalls));
   sapphireflow::platform::JobHttpHandler callers(service.node(), service.events(),
--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -72,7 +72,7 @@
   PlaceRuns(const NodeId& coordinator, std::string service,
             std::shared_ptr<const std::string> payload, Duration time_to_objective,
             Duration time_to_deadline, std::uint32_t priority, std::vector<RunOrder> runs,
-            std::string queue = "", std::uint64_t echo = 0)
+            std::string queue = "", std::uint64_t echo = 0, bool job_begun = false)
       : m_coordinator(coordinator),
         m_service(std::move(service)),
         m_payload(std::move(payload)),
@@ -81,12 +81,13 @@
         m_priority(priority),
         m_runs(std::move(runs)),
         m_queue(std::move(queue)),
-        m_echo(echo) {}
+        m_echo(echo),
+        m_job_begun(job_begun) {}
   /// @brief Returns a copy with the given echo.
   PlaceRuns WithEcho(std::uint64_t echo) const {
     return {
         m_coordinator, m_service, m_payload, m_time_to_objective, m_time_to_deadline, m_priority,
-        m_runs,        m_queue,   echo};
+        m_runs,        m_queue,   echo,      m_job_begun};
   }
   const NodeId& coordinator() const { return m_coordinator; }
   const std::string& service() const { return m_service; }
@@ -102,9 +103,12 @@
   /// @brief Sequence number of the latest heartbeat that the coordinator received from the owner.
   /// The owner derives from it an upper bound of the message's age by its own clock.
   std::uint64_t echo() const { return m_echo; }
+  /// @brief Whether a run of the job may have started; false if the coordinator runs an earlier
+  /// version.
+  bool job_begun() const { return m_job_begun; }
   auto Fields() const {
     return std::tie(m_coordinator, m_service, *m_payload, m_time_to_objective, m_time_to_deadline,
-                    m_priority, m_runs, m_queue, m_echo);
+                    m_priority, m_runs, m_queue, m_echo, m_job_begun);
   }
 
  private:
@@ -118,6 +122,7 @@
   std::vector<RunOrder> m_runs;
   std::string m_queue;
   std::uint64_t m_echo;
+  bool m_job_begun;
 };
 
 /// @brief Coordinator to owner: request to drop these runs, and to stop those that have started.
@@ -249,15 +254,30 @@
   double m_slowness;
 };
 
+/// @brief Estimated wait of a run of one priority at an owner.
+class PriorityWait : public Comparable<PriorityWait> {
+ public:
+  PriorityWait(std::uint32_t priority, Duration wait) : m_priority(priority), m_wait(wait) {}
+  std::uint32_t priority() const { return m_priority; }
+  /// @brief Behind the runs of this priority and of all higher ones.
+  Duration wait() const { return m_wait; }
+  auto Fields() const { return std::tie(m_priority, m_wait); }
+
+ private:
+  std::uint32_t m_priority;
+  Duration m_wait;
+};
+
 /// @brief Free capacity of an owner's workers of one service.
 class CapacityDigest : public Comparable<CapacityDigest> {
  public:
   CapacityDigest(std::string service, std::vector<WorkerFreeCapacity> free_capacity, Duration wait,
-                 std::int64_t milli_cores)
+                 std::int64_t milli_cores, std::vector<PriorityWait> priority_waits = {})
       : m_service(std::move(service)),
         m_free_capacity(std::move(free_capacity)),
         m_wait(wait),
-        m_milli_cores(milli_cores) {}
+        m_milli_cores(milli_cores),
+        m_priority_waits(std::move(priority_waits)) {}
   const std::string& service() const { return m_service; }
   /// @brief In a complete update, only the workers that have free capacity.
   const std::vector<WorkerFreeCapacity>& free_capacity() const { return m_free_capacity; }
@@ -265,13 +285,19 @@
   Duration wait() const { return m_wait; }
   /// @brief Total of all the owner's usable workers, whether in use or free.
   std::int64_t milli_cores() const { return m_milli_cores; }
-  auto Fields() const { return std::tie(m_service, m_free_capacity, m_wait, m_milli_cores); }
+  /// @brief Ascending by priority, and by wait. Empty if runs of all priorities wait equally long,
+  /// or if the owner runs an earlier version.
+  const std::vector<PriorityWait>& priority_waits() const { return m_priority_waits; }
+  auto Fields() const {
+    return std::tie(m_service, m_free_capacity, m_wait, m_milli_cores, m_priority_waits);
+  }
 
  private:
   std::string m_service;
   std::vector<WorkerFreeCapacity> m_free_capacity;
   Duration m_wait;
   std::int64_t m_milli_cores;
+  std::vector<PriorityWait> m_priority_waits;
 };
 
 /// @brief Free capacity of an owner's workers: a full snapshot, or changes to some workers.
--- a/include/sapphireflow/settings/dispatch_settings.h
+++ b/include/sapphireflow/settings/dispatch_settings.h
@@ -14,6 +14,7 @@
  public:
   DispatchSettings(const LeaseLimits& leases, Duration drain_timeout, double remote_factor,
                    std::string start_order, std::string owner_choice, std::string outliers,
+                   std::string job_feasibility = "whole-job",
                    std::string overload_control = "adaptive")
       : m_leases(leases),
         m_drain_timeout(drain_timeout),
@@ -21,23 +22,26 @@
         m_start_order(std::move(start_order)),
         m_owner_choice(std::move(owner_choice)),
         m_outliers(std::move(outliers)),
+        m_job_feasibility(std::move(job_feasibility)),
         m_overload_control(std::move(overload_control)) {}
   const LeaseLimits& leases() const { return m_leases; }
   /// @brief Time after the report that a worker drains by which no run starts there any more.
   Duration drain_timeout() const { return m_drain_timeout; }
   /// @brief Factor by which a task takes longer outside the rack of its data.
   double remote_factor() const { return m_remote_factor; }
-  /// @brief `least-slack` or `arrival`.
+  /// @brief `priority-slack`, `least-slack` or `arrival`.
   const std::string& start_order() const { return m_start_order; }
   /// @brief `slowest-sufficient`, `earliest-end` or `nearest`.
   const std::string& owner_choice() const { return m_owner_choice; }
   /// @brief `consecutive-failures` or `trusting`.
   const std::string& outliers() const { return m_outliers; }
+  /// @brief `whole-job` or `first-start`.
+  const std::string& job_feasibility() const { return m_job_feasibility; }
   /// @brief `adaptive` or `admit-all`.
   const std::string& overload_control() const { return m_overload_control; }
   auto Fields() const {
     return std::tie(m_leases, m_drain_timeout, m_remote_factor, m_start_order, m_owner_choice,
-                    m_outliers, m_overload_control);
+                    m_outliers, m_job_feasibility, m_overload_control);
   }
 
  private:
@@ -48,6 +52,7 @@
   std::string m_start_order;
   std::string m_owner_choice;
   std::string m_outliers;
+  std::string m_job_feasibility;
   std::string m_overload_control;
 };
 
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -44,6 +44,7 @@
 Json Write(const RunOrder& order);
 Json Write(const RunReport& report);
 Json Write(const WorkerFreeCapacity& available);
+Json Write(const PriorityWait& known);
 Json Write(const CapacityDigest& digest);
 Json Write(const CapacityAnnouncement& announcement);
 Json Write(const WorkerChange& change);
@@ -90,13 +91,20 @@
   return {json.at(0).get<std::string>(), ReadResources(json.at(1)), json.at(2).get<double>()};
 }
 
+Json Write(const PriorityWait& known) { return {known.priority(), Write(known.wait())}; }
+PriorityWait ReadPriorityWait(const Json& json) {
+  return {json.at(0).get<std::uint32_t>(), ReadDuration(json.at(1))};
+}
+
 Json Write(const CapacityDigest& digest) {
   return {digest.service(), WriteAll(digest.free_capacity()), Write(digest.wait()),
-          digest.milli_cores()};
+          digest.milli_cores(), WriteAll(digest.priority_waits())};
 }
 CapacityDigest ReadCapacityDigest(const Json& json) {
   return {json.at(0).get<std::string>(), ReadList(json.at(1), ReadWorkerFreeCapacity),
-          ReadDuration(json.at(2)), json.at(3).get<std::int64_t>()};
+          ReadDuration(json.at(2)), json.at(3).get<std::int64_t>(),
+          // not sent by earlier versions
+          json.size() > 4 ? ReadList(json.at(4), ReadPriorityWait) : std::vector<PriorityWait>()};
 }
 
 Json Write(const QueueConfig& queue) {
@@ -125,15 +133,19 @@
           listing.labels(),
           Write(listing.capacity()),
           listing.process_start_ms(),
-          listing.draining()};
+          listing.draining(),
+          listing.time_left() ? Write(*listing.time_left()) : Json()};
 }
 WorkerChange ReadWorkerChange(const Json& json) {
   const auto id = json.at(0).get<std::string>();
   if (json.size() == 1) return {id, std::nullopt};
-  return {id, WorkerListing(id, detail::ReadAddress(json.at(1)), json.at(2).get<std::string>(),
-                            json.at(3).get<std::string>(),
-                            json.at(4).get<std::vector<std::string>>(), ReadResources(json.at(5)),
-                            json.at(6).get<std::int64_t>(), json.at(7).get<bool>())};
+  const WorkerListing listing(id, detail::ReadAddress(json.at(1)), json.at(2).get<std::string>(),
+                              json.at(3).get<std::string>(),
+                              json.at(4).get<std::vector<std::string>>(), ReadResources(json.at(5)),
+                              json.at(6).get<std::int64_t>(), json.at(7).get<bool>());
+  // not sent by earlier versions
+  if (json.size() <= 8 || json.at(8).is_null()) return {id, listing};
+  return {id, listing.WithTimeLeft(ReadDuration(json.at(8)))};
 }
 
 Json Body(const PlaceRuns& m) {
@@ -145,7 +157,8 @@
           m.priority(),
           WriteAll(m.runs()),
           m.echo(),
-          m.queue()};
+          m.queue(),
+          m.job_begun()};
 }
 Json Body(const CancelRuns& m) {
   return {detail::Write(m.coordinator()), m.service(), WriteAll(m.runs())};
@@ -230,7 +243,8 @@
                    ReadDuration(j.at(3)), ReadDuration(j.at(4)), j.at(5).get<std::uint32_t>(),
                    ReadList(j.at(6), ReadRunOrder),
                    // not sent by earlier versions
-                   j.size() > 8 ? j.at(8).get<std::string>() : "", j.at(7).get<std::uint64_t>());
+                   j.size() > 8 ? j.at(8).get<std::string>() : "", j.at(7).get<std::uint64_t>(),
+                   j.size() > 9 && j.at(9).get<bool>());
 }
 DispatchMessage ReadCancelRuns(const Json& j) {
   return CancelRuns(detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
--- a/src/membership/worker_list.cc
+++ b/src/membership/worker_list.cc
@@ -10,9 +10,13 @@
 
 constexpr Duration kRequestInterval = std::chrono::milliseconds(500);
 // Between the decision to start a run and its arrival at the worker.
-constexpr Duration kStartRequestTime = std::chrono::milliseconds(100);
-// Each VM gets an answer of the store at least once a second while the store is available.
-constexpr Duration kStoreAnswerInterval = std::chrono::milliseconds(1200);
+constexpr Duration kStartRequestTime = std::chrono::milliseconds(200);
+// Each VM gets an answer of the store at least once a second while the store is available, and a VM
+// that is short of CPU time reads it late.
+constexpr Duration kMinStoreAnswerInterval = std::chrono::milliseconds(1200);
+// Subtracted from the drain timeout, so that a list that was being followed when an outage began is
+// not outdated before the store counts as away.
+constexpr Duration kListAgeInUse = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -135,8 +139,9 @@
 
 bool WorkerList::AllowsStarts(Instant now) const {
   std::lock_guard<std::mutex> lock(m_mutex);
-  const bool store_answers =
-      m_store_answered_at && now - *m_store_answered_at <= kStoreAnswerInterval;
+  const Duration answer_interval =
+      std::max(kMinStoreAnswerInterval, m_drain_timeout - kListAgeInUse);
+  const bool store_answers = m_store_answered_at && now - *m_store_answered_at <= answer_interval;
   return !store_answers || now - m_as_of <= m_drain_timeout - kStartRequestTime;
 }
 
