--- a/src/transport/loop_delay_probe.h
+++ b/src/transport/loop_delay_probe.h
@@ -18,21 +18,26 @@
   LoopDelayProbe(asio::io_context& context, OnLoopDelay on_delay)
       : m_timer(context), m_on_delay(std::move(on_delay)) {}
 
-  void Start() {
-    m_timer.expires_after(kInterval);
+  void Start() { Wait(kCalmInterval); }
+
+ private:
+  // At least two samples in each interval of the controller, which is 100 ms or longer. A wake-up
+  // costs 40 to 50 us of CPU time, as measured on an idle process.
+  static constexpr std::chrono::milliseconds kCalmInterval{60};
+  static constexpr std::chrono::milliseconds kLateInterval{40};
+  static constexpr std::chrono::milliseconds kLate{10};
+
+  void Wait(std::chrono::milliseconds interval) {
+    m_timer.expires_after(interval);
     m_timer.async_wait([this](const asio::error_code& failed) {
       if (failed) return;
-      m_on_delay(
-          std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_timer.expiry()),
-          kInterval);
-      Start();
+      const auto delay = std::chrono::steady_clock::now() - m_timer.expiry();
+      const auto next = delay > kLate ? kLateInterval : kCalmInterval;
+      m_on_delay(std::chrono::duration_cast<Duration>(delay), next);
+      Wait(next);
     });
   }
 
- private:
-  // Two samples in each interval of the controller; each wake-up costs about 20 us of CPU time.
-  static constexpr std::chrono::milliseconds kInterval{40};
-
   asio::steady_timer m_timer;
   const OnLoopDelay m_on_delay;
 };
