--- a/include/sapphireflow/admission/ingress_budget.h
+++ b/include/sapphireflow/admission/ingress_budget.h
@@ -123,7 +123,7 @@
     std::unordered_map<IngressId, Connection> connections;
   };
   struct Victim {
-    IngressId id;
+    IngressId id = 0;
     EvictionCandidate candidate;
   };
   static constexpr std::size_t kShards = 8;
--- a/src/transport/request_scanner.cc
+++ b/src/transport/request_scanner.cc
@@ -90,12 +90,12 @@
 }
 
 std::size_t RequestScanner::Scan(const char* data, std::size_t length) {
-  static const http_parser_settings kSettings = ScannerCallbacks::Make();
+  static const http_parser_settings settings = ScannerCallbacks::Make();
   if (m_complete) Reset();
   // set here, since the scanner may have been moved
   m_parser.data = this;
   const bool in_head = !m_head_complete;
-  const std::size_t scanned = http_parser_execute(&m_parser, &kSettings, data, length);
+  const std::size_t scanned = http_parser_execute(&m_parser, &settings, data, length);
   m_raw_bytes += scanned;
   // a read that ends the head may have some of the body
   if (in_head) m_head_bytes += scanned - std::min(scanned, m_body_bytes);
--- a/tests/ingress/crowd.cc
+++ b/tests/ingress/crowd.cc
@@ -27,7 +27,8 @@
   place.sin_family = AF_INET;
   place.sin_port = htons(to.port());
   place.sin_addr.s_addr = htonl(to.ip());
-  connect(made, reinterpret_cast<const sockaddr*>(&place), sizeof place);
+  // a connection that fails shows as an error of the socket later
+  (void)connect(made, reinterpret_cast<const sockaddr*>(&place), sizeof place);
   return made;
 }
 
