Let the store of a load test report the workers, as it answers

Cause: the load test of whole jobs fed answers of the store, but reported the workers only once. Change: the test's store reports the workers with each of its answers. No check has changed.

--- a/tests/unit/unit-job_load.cpp
+++ b/tests/unit/unit-job_load.cpp
@@ -77,9 +77,7 @@
   }
 
   Outcome Run(double load) {
-    WorkerListings listings;
-    for (const auto& [id, worker] : m_workers) listings.push_back(worker.listing.front());
-    Feed(WorkersListed(listings, m_now));
+    ListWorkers();
     Feed(MembersListed({MemberListing(kSelf, "celaya", 500)}));
     Tick();
     ScheduleJobs(load);
@@ -146,7 +144,15 @@
       std::visit([this](const auto& one) { Execute(one); }, effect);
     }
   }
+  void ListWorkers() {
+    WorkerListings listings;
+    for (const auto& [id, worker] : m_workers) listings.push_back(worker.listing.front());
+    Feed(WorkersListed(listings, m_now));
+  }
+
   void Tick() {
+    // a store that answers also reports the workers: a VM starts nothing by an old list
+    ListWorkers();
     Feed(StoreAnswered());
     Feed(DispatchTick());
     After(Millis(50), [this] { Tick(); });
