Drop the origin of a figure from a comment of the loop delay probe

Cause: the house style keeps notes on how a value was found out of the code. Change: one comment; no code.

--- a/src/transport/loop_delay_probe.h
+++ b/src/transport/loop_delay_probe.h
@@ -22,7 +22,7 @@
 
  private:
   // At least two samples in each interval of the controller, which is 100 ms or longer. A wake-up
-  // costs 40 to 50 us of CPU time, as measured on an idle process.
+  // costs 40 to 50 us of CPU time.
   static constexpr std::chrono::milliseconds kCalmInterval{60};
   static constexpr std::chrono::milliseconds kLateInterval{40};
   static constexpr std::chrono::milliseconds kLate{10};
