Refuse jobs by their caller's time, not by shares of timeout and objective

Callers saw: a job of 60 ms work with 800 of 1,500 ms left was refused because nothing of it had started; with a wait of 0.4 of the timeout it was refused on arrival, whatever its work; a queue with a short objective was refused after a quarter of it. A job of 1.4 s work that could not be answered since 0.1 s was held until 0.45 of the timeout.

Ruled out: that they stand for the age of the announcements. That age is now kept with each digest (`DigestTimes`) and subtracted from the waits.

Change: a job is refused if the wait and its shortest plausible run exceed the caller's time, on arrival and while it waits; the objective has no part in it. `kMinQueueWait` ranks owners only: it is no known wait. The baseline `first-start` holds jobs until their deadline, as its comment says.

--- a/include/sapphireflow/dispatch/capacity_view.h
+++ b/include/sapphireflow/dispatch/capacity_view.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIREFLOW_DISPATCH_CAPACITY_VIEW_H_
 #define SAPPHIREFLOW_DISPATCH_CAPACITY_VIEW_H_
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -17,6 +18,24 @@
 
 namespace sapphireflow {
 
+/// @brief Since when a digest is true, and how long it is kept.
+class DigestTimes : public Comparable<DigestTimes> {
+ public:
+  /// @brief For a digest that is always up to date, as a VM's own.
+  DigestTimes() = default;
+  DigestTimes(Instant as_of, Instant expires_at) : m_as_of(as_of), m_expires_at(expires_at) {}
+  /// @brief The digest was up to date at this time, or later.
+  Instant as_of() const { return m_as_of; }
+  /// @brief When the digest is forgotten unless another one arrives.
+  Instant expires_at() const { return m_expires_at; }
+  Duration AgeAt(Instant now) const { return std::max(Duration::zero(), now - m_as_of); }
+  auto Fields() const { return std::tie(m_as_of, m_expires_at); }
+
+ private:
+  Instant m_as_of = Instant::max();
+  Instant m_expires_at = Instant::max();
+};
+
 /// @brief Latest capacity digests of all owners, less the runs sent to them since. Thread-safe: one
 /// lock.
 class CapacityView {
@@ -26,12 +45,12 @@
 
   /// @brief Replaces the digest of an owner's service.
   /// @param zone availability zone of the owner; empty to keep the known one
-  /// @param expires_at when the digest is forgotten unless another one arrives
   void Update(const NodeId& owner, const std::string& zone, const CapacityDigest& digest,
-              Instant expires_at = Instant::max());
+              const DigestTimes& times = {});
   /// @brief Replaces what is known of an owner in another zone by what a relay passes on, unless
   /// the owner's own announcements arrive.
-  void UpdateRelayed(const CapacityAnnouncement& announcement, Instant now, Instant expires_at);
+  void UpdateRelayed(const CapacityAnnouncement& announcement, Instant now,
+                     const DigestTimes& times);
   /// @brief Forgets the digests that have expired.
   void DropExpired(Instant now);
   /// @brief What owners in other zones have announced to this VM itself, for relaying.
@@ -39,7 +58,9 @@
   std::vector<CapacityAnnouncement> OtherZones(std::size_t max_workers) const;
   /// @brief Applies an incremental digest: replaces the entries of the workers that it lists.
   /// Ignored for an owner that is not known yet, until a complete digest of it arrives.
-  void MergeDigest(const NodeId& owner, const CapacityDigest& digest);
+  /// @param as_of the digest was up to date at this time, or later
+  void MergeDigest(const NodeId& owner, const CapacityDigest& digest,
+                   Instant as_of = Instant::max());
   /// @brief Removes the owner's digests of services that are not among these.
   void RetainServices(const NodeId& owner, const std::vector<CapacityDigest>& digests);
   /// @brief Removes all digests of the owner.
@@ -62,14 +83,15 @@
                        const WorkerFilter& may_use) const;
   /// @return `std::nullopt` if the worker is not listed.
   std::optional<WorkerIncarnation> IncarnationOf(const WorkerId& worker) const;
-  /// @brief Room for the tasks of the job's first step. Complexity: linear in the number of workers
-  /// with free capacity, until those found have room for all tasks.
-  StepRoom RoomFor(const JobOrder& order) const;
+  /// @brief Room for the tasks of the job's first step. The waits are those announced, less the
+  /// time since then, in which the runs that were waiting may have started. Complexity: linear in
+  /// the number of workers with free capacity, until those found have room for all tasks.
+  StepRoom RoomFor(const JobOrder& order, Instant now) const;
   /// @brief Whether no owner has room for a task of the job's first step, and at each the wait for
-  /// the runs of higher priorities alone is longer than `wait`. False if an owner does not tell.
-  /// Complexity: linear in the number of owners if any wait is shorter, else in the number of
-  /// workers with free capacity.
-  bool IsFullFor(const JobOrder& order, Duration wait) const;
+  /// the runs of higher priorities alone is certainly longer than `wait`. False if an owner does
+  /// not tell. Complexity: linear in the number of owners if any wait is shorter, else in the
+  /// number of workers with free capacity.
+  bool IsFullFor(const JobOrder& order, Duration wait, Instant now) const;
   /// @brief Smallest ratio of expected to declared run time that was announced for a worker of the
   /// service; 1 if none was. Complexity: linear in the number of owners.
   double SmallestSlowness(const std::string& service) const;
@@ -100,7 +122,7 @@
     Duration wait{};
     std::int64_t milli_cores = 0;
     std::vector<PriorityWait> priority_waits;
-    Instant expires_at = Instant::max();
+    DigestTimes times;
     // whether it came through a relay
     bool relayed = false;
     // smallest ratio of expected to declared run time of any worker announced so far
--- a/include/sapphireflow/dispatch/job_feasibility.h
+++ b/include/sapphireflow/dispatch/job_feasibility.h
@@ -13,15 +13,12 @@
 
 namespace sapphireflow {
 
-/// @brief Minimum estimated wait for the next run to end when no worker has enough free capacity: a
-/// tenth of a typical run.
-constexpr Duration kMinQueueWait = std::chrono::milliseconds(15);
-
 /// @brief The waiting runs and the workers of one owner.
 class OwnerQueue : public Comparable<OwnerQueue> {
  public:
   OwnerQueue(Duration wait, std::int64_t milli_cores) : m_wait(wait), m_milli_cores(milli_cores) {}
-  /// @brief Estimated wait of a run of the job's priority for which no worker has room.
+  /// @brief Estimated wait of a run of the job's priority for which no worker has room, less the
+  /// age of the estimate.
   Duration wait() const { return m_wait; }
   /// @brief Total of all the owner's usable workers; greater than 0.
   std::int64_t milli_cores() const { return m_milli_cores; }
@@ -66,47 +63,56 @@
 /// @brief Time by which the last task of the first step can start, if the tasks are spread over the
 /// owners in the best way. Complexity: n log n in the number of owners.
 /// @param room of at least one owner
-Duration LastStart(const JobOrder& order, const StepRoom& room);
+/// @param slowness smallest known ratio of expected to declared run time
+Duration LastStart(const JobOrder& order, const StepRoom& room, double slowness = 1.0);
 
-/// @brief Policy that decides which jobs are not worth waiting for.
+/// @brief Policy that decides which jobs can no longer be answered before their caller's deadline.
+///
+/// A decision rests on the time that the caller has, the work that is left and what is known of the
+/// fleet. The objective of the job is no part of it.
 class JobFeasibility {
  public:
   virtual ~JobFeasibility() = default;
+  /// @brief Decides on a job on its arrival.
   /// @param room of at least one owner
-  /// @return if the job is to be refused on its arrival, the wait for room.
-  virtual std::optional<Duration> RefusalWait(const JobOrder& order,
-                                              const StepRoom& room) const = 0;
+  /// @param time_left until the caller's deadline
+  /// @param slowness smallest known ratio of expected to declared run time
+  /// @return if the job is to be refused, the wait for room.
+  virtual std::optional<Duration> RefusalWait(const JobOrder& order, const StepRoom& room,
+                                              Duration time_left, double slowness) const = 0;
   /// @brief Whether the job can be answered before its caller's deadline.
   /// @param time_left until that deadline
   virtual bool CanEndInTime(const JobOrder& order, const std::vector<StepState>& states,
                             Duration time_left, double slowness) const = 0;
-  /// @brief How long a job waits for its first start.
-  /// @param is_full whether no owner has room, and at each the wait for the runs of higher
-  /// priorities exceeds the job's objective
-  virtual Duration UnstartedLimit(const JobOrder& order, bool is_full) const = 0;
+  /// @brief How long the runs of a job may still wait for room.
+  /// @return `std::nullopt` if the job waits until its caller's deadline.
+  virtual std::optional<Duration> LongestWait(const JobOrder& order,
+                                              const std::vector<StepState>& states,
+                                              Duration time_left, double slowness) const = 0;
 };
 
 /// @brief Baseline: considers the wait for the first task only, and holds jobs until their
 /// deadline.
 class FirstStartFeasibility : public JobFeasibility {
  public:
-  std::optional<Duration> RefusalWait(const JobOrder& order, const StepRoom& room) const override;
+  std::optional<Duration> RefusalWait(const JobOrder& order, const StepRoom& room,
+                                      Duration time_left, double slowness) const override;
   bool CanEndInTime(const JobOrder& order, const std::vector<StepState>& states, Duration time_left,
                     double slowness) const override;
-  Duration UnstartedLimit(const JobOrder& order, bool is_full) const override;
+  std::optional<Duration> LongestWait(const JobOrder& order, const std::vector<StepState>& states,
+                                      Duration time_left, double slowness) const override;
 };
 
 /// @brief Refuses in addition jobs whose last task of the first step starts too late, and gives up
 /// jobs of which even the shortest plausible rest ends too late.
 class WholeJobFeasibility : public JobFeasibility {
  public:
-  std::optional<Duration> RefusalWait(const JobOrder& order, const StepRoom& room) const override;
+  std::optional<Duration> RefusalWait(const JobOrder& order, const StepRoom& room,
+                                      Duration time_left, double slowness) const override;
   bool CanEndInTime(const JobOrder& order, const std::vector<StepState>& states, Duration time_left,
                     double slowness) const override;
-  Duration UnstartedLimit(const JobOrder& order, bool is_full) const override;
-
- private:
-  FirstStartFeasibility m_first_start;
+  std::optional<Duration> LongestWait(const JobOrder& order, const std::vector<StepState>& states,
+                                      Duration time_left, double slowness) const override;
 };
 
 /// @brief Creates a policy from its name in the settings: `whole-job` or `first-start`.
--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -182,7 +182,9 @@
   void Remember(JobKey key, JobVerdict verdict, Instant now);
   // withdraws the runs of a job that has not started, to refuse it
   void StartRefusal(Job& job, Instant now, JobEffects& out);
-  // starts to refuse a job that has waited too long for its first run to start
+  // whether runs of higher priorities leave the job no time to run
+  bool IsCrowdedOut(const Job& job, Instant now) const;
+  // starts to refuse a job that has not started and cannot be served in time
   void RefuseUnstarted(Job& job, Instant now, JobEffects& out);
   // answers a job that is being refused, or resumes it if a run has started after all
   void FinishRefusal(Job& job, Instant now, JobEffects& out);
--- a/src/dispatch/capacity_room.cc
+++ b/src/dispatch/capacity_room.cc
@@ -53,14 +53,15 @@
   }
 }
 
-StepRoom CapacityView::RoomFor(const JobOrder& order) const {
+StepRoom CapacityView::RoomFor(const JobOrder& order, Instant now) const {
   const StepSpec& step = order.steps().front();
   std::int64_t fitting = 0;
   std::vector<OwnerQueue> queues;
   std::lock_guard<std::mutex> lock(m_mutex);
   for (const auto& [key, entry] : m_entries) {
     if (key.second != order.service() || entry.milli_cores <= 0) continue;
-    queues.emplace_back(WaitOf(entry, order.priority()), entry.milli_cores);
+    const Duration wait = WaitOf(entry, order.priority()) - entry.times.AgeAt(now);
+    queues.emplace_back(std::max(wait, Duration::zero()), entry.milli_cores);
     for (const WorkerFreeCapacity& worker : entry.free_workers) {
       if (fitting >= step.count()) break;
       fitting += CountFitting(worker.available(), step.needs());
@@ -70,7 +71,7 @@
   return {count, std::move(queues)};
 }
 
-bool CapacityView::IsFullFor(const JobOrder& order, Duration wait) const {
+bool CapacityView::IsFullFor(const JobOrder& order, Duration wait, Instant now) const {
   const auto is_asked = [&](const auto& item) {
     return item.first.second == order.service() && item.second.milli_cores > 0;
   };
@@ -81,7 +82,8 @@
       std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
         const Entry& entry = item.second;
         return is_asked(item) &&
-               (entry.priority_waits.empty() || WaitOf(entry, order.priority() - 1) <= wait);
+               (entry.priority_waits.empty() ||
+                WaitOf(entry, order.priority() - 1) - entry.times.AgeAt(now) <= wait);
       });
   if (has_short_wait) return false;
   const Resources& needs = order.steps().front().needs();
--- a/src/dispatch/capacity_view.cc
+++ b/src/dispatch/capacity_view.cc
@@ -18,6 +18,10 @@
 constexpr double kMaxJitterShare = 0.6;
 constexpr double kJitterSharePerOwner = 1.0 / 60;
 
+// An owner without room learns only from its next report that a run has ended, however short its
+// queue is.
+constexpr Duration kMinQueueWait = std::chrono::milliseconds(15);
+
 // maps a job and an owner to a pseudo-random number in [0, 1)
 double HashFraction(JobKey job, const NodeId& owner) {
   const std::size_t mixed =
@@ -33,7 +37,7 @@
     : m_self(self), m_zone(std::move(zone)), m_choice(std::move(choice)) {}
 
 void CapacityView::Update(const NodeId& owner, const std::string& zone,
-                          const CapacityDigest& digest, Instant expires_at) {
+                          const CapacityDigest& digest, const DigestTimes& times) {
   std::lock_guard<std::mutex> lock(m_mutex);
   Entry& entry = m_entries[Key(owner, digest.service())];
   if (!zone.empty()) entry.zone = zone;
@@ -42,25 +46,25 @@
   entry.milli_cores = digest.milli_cores();
   entry.priority_waits = digest.priority_waits();
   LearnSlowness(entry, digest.free_capacity());
-  entry.expires_at = expires_at;
+  entry.times = times;
   entry.relayed = false;
   m_had_workers = m_had_workers || digest.milli_cores() > 0;
 }
 
 void CapacityView::UpdateRelayed(const CapacityAnnouncement& announcement, Instant now,
-                                 Instant expires_at) {
+                                 const DigestTimes& times) {
   std::lock_guard<std::mutex> lock(m_mutex);
   for (const CapacityDigest& digest : announcement.digests()) {
     m_had_workers = m_had_workers || digest.milli_cores() > 0;
     Entry& entry = m_entries[Key(announcement.owner(), digest.service())];
     const bool is_new = entry.zone.empty();
-    if (!is_new && !entry.relayed && now < entry.expires_at) continue;
+    if (!is_new && !entry.relayed && now < entry.times.expires_at()) continue;
     entry = Entry{announcement.zone(),
                   digest.free_capacity(),
                   digest.wait(),
                   digest.milli_cores(),
                   digest.priority_waits(),
-                  expires_at,
+                  times,
                   true,
                   entry.smallest_slowness};
     LearnSlowness(entry, digest.free_capacity());
@@ -70,7 +74,7 @@
 void CapacityView::DropExpired(Instant now) {
   std::lock_guard<std::mutex> lock(m_mutex);
   for (auto item = m_entries.begin(); item != m_entries.end();) {
-    item = item->second.expires_at <= now ? m_entries.erase(item) : std::next(item);
+    item = item->second.times.expires_at() <= now ? m_entries.erase(item) : std::next(item);
   }
 }
 
@@ -100,7 +104,7 @@
   return announcements;
 }
 
-void CapacityView::MergeDigest(const NodeId& owner, const CapacityDigest& digest) {
+void CapacityView::MergeDigest(const NodeId& owner, const CapacityDigest& digest, Instant as_of) {
   std::lock_guard<std::mutex> lock(m_mutex);
   const auto found = m_entries.find(Key(owner, digest.service()));
   if (found == m_entries.end()) return;
@@ -108,6 +112,7 @@
   entry.wait = digest.wait();
   entry.milli_cores = digest.milli_cores();
   entry.priority_waits = digest.priority_waits();
+  entry.times = DigestTimes(as_of, entry.times.expires_at());
   LearnSlowness(entry, digest.free_capacity());
   for (const WorkerFreeCapacity& free_worker : digest.free_capacity()) {
     const auto known = std::find_if(entry.free_workers.begin(), entry.free_workers.end(),
--- a/src/dispatch/job_feasibility.cc
+++ b/src/dispatch/job_feasibility.cc
@@ -8,21 +8,9 @@
 namespace sapphireflow {
 namespace {
 
-// maximum estimated wait for free capacity, as a share of the answer timeout
-constexpr double kMaxWaitShare = 0.4;
-// Share of the answer timeout after which a job without a started run is refused. It is below one
-// half, from which on the platform counts the request as held without result.
-constexpr double kMaxUnstartedShare = 0.45;
-// Owners announce their capacity every 200 ms: the waits may have become shorter by as much since.
-constexpr Duration kMaxDigestAge = std::chrono::milliseconds(200);
 // A start is reported with the owner's next tick (50 ms) and across zones; a throttled core delays
 // either for up to 100 ms.
 constexpr Duration kMaxReportDelay = std::chrono::milliseconds(250);
-// A job that cannot be served is not held for longer than this part of its objective.
-constexpr int kHoldDivisor = 4;
-
-Duration Share(Duration length, double share) { return FromMillis(ToMillis(length) * share); }
-
 }  // namespace
 
 std::optional<Duration> StepRoom::FirstStart() const {
@@ -31,7 +19,7 @@
   const auto shortest = std::min_element(
       m_queues.begin(), m_queues.end(),
       [](const OwnerQueue& a, const OwnerQueue& b) { return a.wait() < b.wait(); });
-  return shortest->wait() + kMinQueueWait;
+  return shortest->wait();
 }
 
 Duration EarliestEnd(const JobOrder& order, const std::vector<StepState>& states, double slowness) {
@@ -51,7 +39,7 @@
   return last;
 }
 
-Duration LastStart(const JobOrder& order, const StepRoom& room) {
+Duration LastStart(const JobOrder& order, const StepRoom& room, double slowness) {
   const StepSpec& step = order.steps().front();
   if (room.fitting() >= step.count()) return Duration::zero();
   std::vector<OwnerQueue> queues = room.queues();
@@ -59,7 +47,7 @@
   // The tasks before the last one are spread so that all owners used have the same wait.
   double work = static_cast<double>(step.count() - room.fitting() - 1) *
                 static_cast<double>(step.needs().milli_cores()) *
-                ToMillis(ShortestRunTime(step.estimate()));
+                ToMillis(ShortestRunTime(step.estimate(), slowness));
   double wait_ms = ToMillis(queues.front().wait());
   double milli_cores = 0;
   for (std::size_t i = 0; i < queues.size(); ++i) {
@@ -73,13 +61,14 @@
     work -= (next_ms - wait_ms) * milli_cores;
     wait_ms = next_ms;
   }
-  return FromMillis(wait_ms) + kMinQueueWait;
+  return FromMillis(wait_ms);
 }
 
-std::optional<Duration> FirstStartFeasibility::RefusalWait(const JobOrder& order,
-                                                           const StepRoom& room) const {
+std::optional<Duration> FirstStartFeasibility::RefusalWait(const JobOrder& /*order*/,
+                                                           const StepRoom& room, Duration time_left,
+                                                           double /*slowness*/) const {
   const Duration wait = room.FirstStart().value_or(Duration::zero());
-  if (wait <= Share(order.answer_timeout(), kMaxWaitShare)) return std::nullopt;
+  if (wait < time_left) return std::nullopt;
   return wait;
 }
 
@@ -89,17 +78,23 @@
   return true;
 }
 
-Duration FirstStartFeasibility::UnstartedLimit(const JobOrder& order, bool /*is_full*/) const {
-  return Share(order.answer_timeout(), kMaxUnstartedShare);
+std::optional<Duration> FirstStartFeasibility::LongestWait(const JobOrder& /*order*/,
+                                                           const std::vector<StepState>& /*states*/,
+                                                           Duration /*time_left*/,
+                                                           double /*slowness*/) const {
+  return std::nullopt;
 }
 
 std::optional<Duration> WholeJobFeasibility::RefusalWait(const JobOrder& order,
-                                                         const StepRoom& room) const {
-  if (const auto wait = m_first_start.RefusalWait(order, room)) return wait;
+                                                         const StepRoom& room, Duration time_left,
+                                                         double slowness) const {
+  const std::vector<StepState> unstarted(order.steps().size(), StepState::kWaiting);
+  const Duration first_start = room.FirstStart().value_or(Duration::zero());
+  if (first_start + EarliestEnd(order, unstarted, slowness) > time_left) return first_start;
   if (room.fitting() >= order.steps().front().count() || room.queues().empty()) return std::nullopt;
-  const Duration last_start = LastStart(order, room);
-  const Duration run_time = ShortestRunTime(order.steps().front().estimate());
-  if (last_start - kMaxDigestAge + run_time <= order.answer_timeout()) return std::nullopt;
+  const Duration last_start = LastStart(order, room, slowness);
+  const Duration run_time = ShortestRunTime(order.steps().front().estimate(), slowness);
+  if (last_start + run_time <= time_left) return std::nullopt;
   return last_start;
 }
 
@@ -108,9 +103,11 @@
   return EarliestEnd(order, states, slowness) <= time_left;
 }
 
-Duration WholeJobFeasibility::UnstartedLimit(const JobOrder& order, bool is_full) const {
-  const Duration limit = m_first_start.UnstartedLimit(order, is_full);
-  return is_full ? std::min(limit, order.objective() / kHoldDivisor) : limit;
+std::optional<Duration> WholeJobFeasibility::LongestWait(const JobOrder& order,
+                                                         const std::vector<StepState>& states,
+                                                         Duration time_left,
+                                                         double slowness) const {
+  return time_left - EarliestEnd(order, states, slowness);
 }
 
 std::unique_ptr<JobFeasibility> MakeJobFeasibility(const std::string& name) {
--- a/src/dispatch/job_shard_admission.cc
+++ b/src/dispatch/job_shard_admission.cc
@@ -21,12 +21,13 @@
                        "\" that are large enough for a task of the job are in evacuated zones");
     }
   }
-  const StepRoom room = m_capacity_view.RoomFor(order);
+  const StepRoom room = m_capacity_view.RoomFor(order, now);
   if (room.queues().empty()) {
     return Error(ErrorId::kNoWorkerFits,
                  "no worker of service \"" + order.service() + "\" is reachable");
   }
-  if (const auto wait = m_feasibility->RefusalWait(order, room)) {
+  if (const auto wait = m_feasibility->RefusalWait(
+          order, room, order.answer_timeout(), m_capacity_view.SmallestSlowness(order.service()))) {
     *retry_after = *wait;
     return Error(ErrorId::kCannotFinishInTime,
                  "the wait for a free worker is " + std::to_string(ToMillis(*wait)) + " ms");
--- a/src/dispatch/job_shard_deadlines.cc
+++ b/src/dispatch/job_shard_deadlines.cc
@@ -8,14 +8,6 @@
 #include "sapphireflow/dispatch/shortest_run_time.h"
 
 namespace sapphireflow {
-namespace {
-
-// A job is not known to be unable to start before this part of its objective has passed: free
-// capacity is announced every 200 ms.
-constexpr int kKnownDivisor = 4;
-
-}  // namespace
-
 std::vector<StepState> JobShard::StatesOf(const Job& job) {
   std::vector<StepState> states;
   states.reserve(job.tasks.size());
@@ -73,16 +65,19 @@
   FinishRefusal(job, now, out);
 }
 
+bool JobShard::IsCrowdedOut(const Job& job, Instant now) const {
+  const JobOrder& order = *job.order;
+  const auto longest_wait = m_feasibility->LongestWait(
+      order, StatesOf(job), job.received_at + order.answer_timeout() - now,
+      m_capacity_view.SmallestSlowness(order.service()));
+  return longest_wait && m_capacity_view.IsFullFor(order, *longest_wait, now);
+}
+
 void JobShard::RefuseUnstarted(Job& job, Instant now, JobEffects& out) {
   if (job.closing || job.refusing || job.may_have_run) return;
-  const JobOrder& order = *job.order;
-  const Duration waited = now - job.received_at;
-  const bool is_full = waited >= order.objective() / kKnownDivisor &&
-                       m_capacity_view.IsFullFor(order, order.objective());
   // a run that is still placed may have started in an evacuated zone, where it is not to be stopped
-  const bool is_evacuated = m_capacity_view.IsEvacuated(order.service()) && !HasRunsLeft(job);
-  if (!is_evacuated && waited < m_feasibility->UnstartedLimit(order, is_full)) return;
-  StartRefusal(job, now, out);
+  const bool is_evacuated = m_capacity_view.IsEvacuated(job.order->service()) && !HasRunsLeft(job);
+  if (is_evacuated || IsCrowdedOut(job, now)) StartRefusal(job, now, out);
 }
 
 void JobShard::FinishRefusal(Job& job, Instant now, JobEffects& out) {
--- a/src/routing/dispatch_node_peers.cc
+++ b/src/routing/dispatch_node_peers.cc
@@ -9,6 +9,8 @@
 
 // Three announcements are missing by then.
 constexpr Duration kCapacityLifetime = std::chrono::milliseconds(3500);
+// An owner announces to other zones once a second, and a relay passes it on once a second.
+constexpr Duration kMaxRelayTime = std::chrono::milliseconds(2000);
 // Time for reading a new configuration from the store before a member is asked for it, and for its
 // answer before another one is.
 constexpr Duration kConfigurationReadTime = std::chrono::milliseconds(400);
@@ -72,11 +74,12 @@
 }
 
 void DispatchNode::Receive(const RunReports& message, EventContext& ctx) {
+  const DigestTimes times(ctx.now, ctx.now + kCapacityLifetime);
   for (const CapacityDigest& digest : message.free_capacity().digests()) {
     if (message.free_capacity().complete()) {
-      m_capacity.Update(message.owner(), "", digest, ctx.now + kCapacityLifetime);
+      m_capacity.Update(message.owner(), "", digest, times);
     } else {
-      m_capacity.MergeDigest(message.owner(), digest);
+      m_capacity.MergeDigest(message.owner(), digest, ctx.now);
     }
   }
   if (message.coordinator() && *message.coordinator() != m_self) {
@@ -127,14 +130,16 @@
   if (!m_members.IsKnown(message.owner())) return;
   m_capacity.RetainServices(message.owner(), message.digests());
   for (const CapacityDigest& digest : message.digests()) {
-    m_capacity.Update(message.owner(), message.zone(), digest, ctx.now + kCapacityLifetime);
+    m_capacity.Update(message.owner(), message.zone(), digest,
+                      DigestTimes(ctx.now, ctx.now + kCapacityLifetime));
   }
 }
 
 void DispatchNode::Receive(const CapacityRelay& message, EventContext& ctx) {
   for (const CapacityAnnouncement& announcement : message.announcements()) {
     if (!m_members.IsReachable(announcement.owner())) continue;
-    m_capacity.UpdateRelayed(announcement, ctx.now, ctx.now + kCapacityLifetime);
+    m_capacity.UpdateRelayed(announcement, ctx.now,
+                             DigestTimes(ctx.now - kMaxRelayTime, ctx.now + kCapacityLifetime));
   }
 }
 
