Give each caller of a job the time of its own submission

Callers saw: a caller whose connection was lost without a sign submits its job again after 1.3 s and is told 0.2 s later that its time is over, as the job had the time of its first submission only. A repeated submission that waited for earlier runs to be stopped was told "expired" as soon as another one arrived, was never told that its own time was over, and once admitted was placed as if it had just arrived.

Cause: a job kept one arrival time and one timeout; the waiting submission was one value that a later one replaced.

Change: each caller has its deadline, and the job ends with the last of them. All submissions that wait for earlier runs are kept, given up when their job could no longer end in time, and admitted with what is left of their time. A job that is being refused goes on for a caller that has come since.

In unit-job_shard.cpp one resubmission now has 3 s instead of 1.5 s: it waits 1.75 s there, and the test expected runs after its caller's deadline.

--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -101,6 +101,8 @@
     std::optional<WorkerIncarnation> incarnation;
     // whether the current run has its worker alone
     bool alone = false;
+    // deadline that its owner was told with the current run
+    Instant placed_until{};
     // all valid only while orphaned
     Instant orphaned_at{};
     // when the last claim or heartbeat that confirms the run may have been sent
@@ -109,22 +111,35 @@
     // adoption and cancel requests sent
     std::uint32_t requests = 0;
   };
+  struct Caller {
+    RequestToken token;
+    // after this time the answer is of no use to it
+    Instant deadline;
+  };
+  // a submission of a job whose last runs are still being stopped
+  struct Resubmission {
+    SubmitJobOrder event;
+    Instant received_at;
+    Instant deadline() const { return received_at + event.order()->answer_timeout(); }
+  };
   struct Job {
     JobOrderPtr order;
-    // callers that wait for the answer; empty once answered
-    std::vector<RequestToken> callers;
+    // callers that wait for the answer, each with the time of its own; empty once answered
+    std::vector<Caller> callers;
     Instant received_at{};
     // indexed by step and by position within the step
     std::vector<std::vector<Task>> tasks;
     // whether a run may have been started
     bool may_have_run = false;
-    // no run started in time: the job is refused once none can start any more
+    // cannot be served: the job is refused once none of its runs can start any more
     bool refusing = false;
+    // the last deadline of a caller when the refusal began; valid only while refusing
+    Instant refused_until{};
     // answered or abandoned; kept until its last run has ended
     bool closing = false;
     Instant last_cancel_at{};
-    // the same job, submitted again while its last runs were being stopped
-    std::optional<SubmitJobOrder> pending_resubmission;
+    // valid only while closing
+    std::vector<Resubmission> resubmissions;
   };
   struct Finished {
     JobVerdict verdict = JobVerdict::kCompleted;
@@ -148,7 +163,7 @@
 
   // whether the job is in the queue and none of its tasks has started
   static bool IsWaiting(const Job& job, const std::string& queue);
-  std::optional<Error> AdmissionError(const JobOrder& order, Instant now,
+  std::optional<Error> AdmissionError(const JobOrder& order, Duration time_left, Instant now,
                                       Duration* retry_after) const;
   // Closes a job with a task that must not run again, or can no longer run in time.
   // @return whether it did.
@@ -157,7 +172,11 @@
   // @return whether it did.
   bool GiveUpLate(Job& job, Instant now, JobEffects& out);
   static std::vector<StepState> StatesOf(const Job& job);
-  void Admit(const SubmitJobOrder& event, Instant now, JobEffects& out);
+  // the last deadline of a caller that waits for the job
+  static Instant DeadlineOf(const Job& job);
+  // @param received_at when the submission arrived, from which its caller's time counts
+  void Submit(const SubmitJobOrder& event, Instant received_at, Instant now, JobEffects& out);
+  void Admit(const SubmitJobOrder& event, Instant received_at, Instant now, JobEffects& out);
   void NoteStall(Instant now);
   // whether this process has just stalled and may not have read yet that the job's caller has left
   bool MayHaveLeft(const Job& job, Instant now) const;
@@ -191,9 +210,15 @@
   void CancelPlaced(Job& job, Instant now, JobEffects& out) const;
   // repeats the cancels of a closing or refused job until its runs have ended
   void RetryCancels(Job& job, Instant now, JobEffects& out) const;
-  // answers and drops a submission that waits for the last runs of its job to be stopped
-  void AnswerWaiting(Job& job, JobVerdict verdict, JobEffects& out);
-  // erases a closing job that has no runs left, and admits its resubmission
+  // tells the callers with a deadline up to then that the job goes on without them
+  void AnswerCallers(Job& job, Instant until, JobEffects& out);
+  // answers the callers whose time is over, and closes the job after the last of them
+  void ExpireCallers(Job& job, Instant now, JobEffects& out);
+  // answers and drops the submissions that wait for the last runs of their job to be stopped
+  void AnswerResubmissions(Job& job, JobVerdict verdict, JobEffects& out);
+  // the same for those whose job could not end in time if it were admitted now
+  void GiveUpResubmissions(Job& job, Instant now, JobEffects& out);
+  // erases a closing job that has no runs left, and admits its resubmissions
   void FinalizeJob(JobKey key, Instant now, JobEffects& out);
   static bool HasRunsLeft(const Job& job);
   void Answer(RequestToken token, JobVerdict verdict, JobEffects& out) const;
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -157,25 +157,7 @@
 }
 
 void JobShard::On(const SubmitJobOrder& event, Instant now, JobEffects& out) {
-  const JobKey key = event.order()->key();
-  const auto finished = m_finished.find(key);
-  if (finished != m_finished.end()) {
-    Answer(event.token(), finished->second.verdict, out);
-    return;
-  }
-  const auto known = m_jobs.find(key);
-  if (known == m_jobs.end()) {
-    Admit(event, now, out);
-  } else if (known->second.closing) {
-    if (known->second.pending_resubmission) {
-      AnswerWaiting(known->second, JobVerdict::kExpired, out);
-    }
-    known->second.pending_resubmission = event;
-    m_callers[event.token()] = key;
-  } else {
-    known->second.callers.push_back(event.token());
-    m_callers[event.token()] = key;
-  }
+  Submit(event, now, now, out);
 }
 
 void JobShard::NoteStall(Instant now) {
@@ -209,7 +191,8 @@
   if (job.closing || job.refusing) return;
   const JobOrder& order = *job.order;
   // if this process has stalled, the caller may have submitted the job to another entry VM
-  if (now - job.received_at >= order.answer_timeout()) return;
+  const Instant deadline = DeadlineOf(job);
+  if (now >= deadline) return;
   if (MayHaveLeft(job, now)) return;
   if (GiveUpCrashing(job, now, out) || GiveUpLate(job, now, out)) return;
   const WorkerFilter confinement = m_crashes.ConfinementOf(order.queue(), now);
@@ -234,15 +217,16 @@
       task.owner = offer->owner();
       task.worker.clear();
       task.incarnation.reset();
+      task.placed_until = deadline;
       batches[offer->owner()].push_back(run_order);
     }
   }
-  const Duration elapsed = now - job.received_at;
+  const Duration time_to_objective = job.received_at + order.objective() - now;
   for (auto& [owner, runs] : batches) {
     out.emplace_back(SendToOwner(
-        owner, PlaceRuns(m_self, order.service(), order.payload(), order.objective() - elapsed,
-                         order.answer_timeout() - elapsed, order.priority(), std::move(runs),
-                         order.queue(), 0, job.may_have_run)));
+        owner,
+        PlaceRuns(m_self, order.service(), order.payload(), time_to_objective, deadline - now,
+                  order.priority(), std::move(runs), order.queue(), 0, job.may_have_run)));
   }
 }
 
@@ -253,7 +237,7 @@
     return;
   }
   const auto found = m_jobs.find(event.job());
-  if (found == m_jobs.end() || (found->second.closing && !found->second.pending_resubmission)) {
+  if (found == m_jobs.end() || (found->second.closing && found->second.resubmissions.empty())) {
     Answer(event.token(), JobVerdict::kNoSuchJob, out);
     return;
   }
@@ -264,7 +248,7 @@
     return;
   }
   if (job.closing) {
-    AnswerWaiting(job, JobVerdict::kCancelled, out);
+    AnswerResubmissions(job, JobVerdict::kCancelled, out);
     Remember(event.job(), JobVerdict::kCancelled, now);
     Answer(event.token(), JobVerdict::kCancelled, out);
     return;
@@ -409,11 +393,13 @@
     FinishRefusal(job, now, out);
     return;
   }
-  if (report.reason() == "too_late" && !job.may_have_run) {
+  // the owner does not know of a caller that has come since
+  const bool is_over = report.reason() == "too_late" && task.placed_until >= DeadlineOf(job);
+  if (is_over && !job.may_have_run) {
     StartRefusal(job, now, out);
     return;
   }
-  if (report.reason() == "too_late") {
+  if (is_over) {
     const Error cause(ErrorId::kDeadlinePassed, "no worker became free in time");
     Close(job, JobVerdict::kExpired, cause, now, out);
     return;
@@ -441,10 +427,8 @@
   for (const auto& [key, job] : m_jobs) keys.push_back(key);
   for (const JobKey key : keys) {
     Job& job = m_jobs.at(key);
-    if (!job.closing && now - job.received_at >= job.order->answer_timeout()) {
-      Close(job, JobVerdict::kExpired,
-            Error(ErrorId::kDeadlinePassed, "the caller's deadline has passed"), now, out);
-    }
+    ExpireCallers(job, now, out);
+    GiveUpResubmissions(job, now, out);
     RefuseUnstarted(job, now, out);
     HandleOrphans(job, now, out);
     RetryCancels(job, now, out);
--- a/src/dispatch/job_shard_admission.cc
+++ b/src/dispatch/job_shard_admission.cc
@@ -7,8 +7,8 @@
 
 namespace sapphireflow {
 
-std::optional<Error> JobShard::AdmissionError(const JobOrder& order, Instant now,
-                                              Duration* retry_after) const {
+std::optional<Error> JobShard::AdmissionError(const JobOrder& order, Duration time_left,
+                                              Instant now, Duration* retry_after) const {
   *retry_after = kDefaultRetryAfter;
   for (const StepSpec& step : order.steps()) {
     if (!m_capacity_view.CouldEverRun(order.service(), step.needs(), step.label())) {
@@ -27,7 +27,7 @@
                  "no worker of service \"" + order.service() + "\" is reachable");
   }
   if (const auto wait = m_feasibility->RefusalWait(
-          order, room, order.answer_timeout(), m_capacity_view.SmallestSlowness(order.service()))) {
+          order, room, time_left, m_capacity_view.SmallestSlowness(order.service()))) {
     *retry_after = *wait;
     return Error(ErrorId::kCannotFinishInTime,
                  "the wait for a free worker is " + std::to_string(ToMillis(*wait)) + " ms");
@@ -45,9 +45,33 @@
   return std::nullopt;
 }
 
-void JobShard::Admit(const SubmitJobOrder& event, Instant now, JobEffects& out) {
+void JobShard::Submit(const SubmitJobOrder& event, Instant received_at, Instant now,
+                      JobEffects& out) {
+  const JobKey key = event.order()->key();
+  const auto finished = m_finished.find(key);
+  if (finished != m_finished.end()) {
+    Answer(event.token(), finished->second.verdict, out);
+    return;
+  }
+  const auto known = m_jobs.find(key);
+  if (known == m_jobs.end()) {
+    Admit(event, received_at, now, out);
+    return;
+  }
+  const Resubmission resubmission{event, received_at};
+  if (known->second.closing) {
+    known->second.resubmissions.push_back(resubmission);
+  } else {
+    known->second.callers.push_back(Caller{event.token(), resubmission.deadline()});
+  }
+  m_callers[event.token()] = key;
+}
+
+void JobShard::Admit(const SubmitJobOrder& event, Instant received_at, Instant now,
+                     JobEffects& out) {
+  const Instant deadline = received_at + event.order()->answer_timeout();
   Duration retry_after{};
-  if (const auto error = AdmissionError(*event.order(), now, &retry_after)) {
+  if (const auto error = AdmissionError(*event.order(), deadline - now, now, &retry_after)) {
     out.emplace_back(AnswerCaller(event.token(), JobVerdict::kRefused, error, retry_after, 0));
     out.emplace_back(JobFinished(event.order()->queue(), JobVerdict::kRefused, error->code(),
                                  Duration::zero(), false));
@@ -59,8 +83,8 @@
   }
   Job& job = m_jobs[event.order()->key()];
   job.order = event.order();
-  job.callers = {event.token()};
-  job.received_at = now;
+  job.callers = {Caller{event.token(), deadline}};
+  job.received_at = received_at;
   Task first;
   // Run numbers continue from an earlier submission of the job: a late reply to a cancel of one of
   // its runs must not match a run of this submission.
--- a/src/dispatch/job_shard_deadlines.cc
+++ b/src/dispatch/job_shard_deadlines.cc
@@ -27,10 +27,16 @@
   return states;
 }
 
+Instant JobShard::DeadlineOf(const Job& job) {
+  Instant last{};
+  for (const Caller& caller : job.callers) last = std::max(last, caller.deadline);
+  return last;
+}
+
 bool JobShard::GiveUpLate(Job& job, Instant now, JobEffects& out) {
   if (job.closing || job.refusing) return false;
   const JobOrder& order = *job.order;
-  const Duration time_left = job.received_at + order.answer_timeout() - now;
+  const Duration time_left = DeadlineOf(job) - now;
   Duration longest{};
   for (const StepSpec& step : order.steps()) longest += ShortestRunTime(step.estimate());
   // the usual case: also with all steps in a row there is time
@@ -61,6 +67,7 @@
 
 void JobShard::StartRefusal(Job& job, Instant now, JobEffects& out) {
   job.refusing = true;
+  job.refused_until = DeadlineOf(job);
   CancelPlaced(job, now, out);
   FinishRefusal(job, now, out);
 }
@@ -84,10 +91,63 @@
   if (job.may_have_run) {
     job.refusing = false;
     PlaceReady(job, now, out);
+  } else if (!HasRunsLeft(job) && DeadlineOf(job) > job.refused_until) {
+    // callers that have come since have more time than those before, for which the job may still
+    // run
+    job.refusing = false;
+    AnswerCallers(job, job.refused_until, out);
+    PlaceReady(job, now, out);
   } else if (!HasRunsLeft(job)) {
     Close(job, JobVerdict::kRefused,
           Error(ErrorId::kCannotFinishInTime, "no worker became free in time"), now, out);
   }
 }
 
+void JobShard::AnswerCallers(Job& job, Instant until, JobEffects& out) {
+  const auto first =
+      std::stable_partition(job.callers.begin(), job.callers.end(),
+                            [until](const Caller& caller) { return caller.deadline > until; });
+  for (auto caller = first; caller != job.callers.end(); ++caller) {
+    out.emplace_back(
+        AnswerCaller(caller->token, JobVerdict::kExpired,
+                     Error(ErrorId::kDeadlinePassed,
+                           "the job cannot end before this caller's deadline, but goes on for "
+                           "another one"),
+                     Duration::zero(), 0));
+    m_callers.erase(caller->token);
+  }
+  job.callers.erase(first, job.callers.end());
+}
+
+void JobShard::ExpireCallers(Job& job, Instant now, JobEffects& out) {
+  if (job.closing) return;
+  if (now < DeadlineOf(job)) {
+    AnswerCallers(job, now, out);
+    return;
+  }
+  Close(job, JobVerdict::kExpired,
+        Error(ErrorId::kDeadlinePassed, "the caller's deadline has passed"), now, out);
+}
+
+void JobShard::GiveUpResubmissions(Job& job, Instant now, JobEffects& out) {
+  if (job.resubmissions.empty()) return;
+  const double slowness = m_capacity_view.SmallestSlowness(job.order->service());
+  const auto can_end = [&](const Resubmission& waiting) {
+    const JobOrder& order = *waiting.event.order();
+    const std::vector<StepState> unstarted(order.steps().size(), StepState::kWaiting);
+    return m_feasibility->CanEndInTime(order, unstarted, waiting.deadline() - now, slowness) &&
+           now < waiting.deadline();
+  };
+  const auto first =
+      std::stable_partition(job.resubmissions.begin(), job.resubmissions.end(), can_end);
+  for (auto waiting = first; waiting != job.resubmissions.end(); ++waiting) {
+    m_callers.erase(waiting->event.token());
+    out.emplace_back(
+        AnswerCaller(waiting->event.token(), JobVerdict::kExpired,
+                     Error(ErrorId::kDeadlinePassed, "earlier runs of the job did not end in time"),
+                     Duration::zero(), 0));
+  }
+  job.resubmissions.erase(first, job.resubmissions.end());
+}
+
 }  // namespace sapphireflow
--- a/src/dispatch/job_shard_endings.cc
+++ b/src/dispatch/job_shard_endings.cc
@@ -11,8 +11,8 @@
 
 // interval at which an adopt or cancel request for an orphaned run is repeated
 constexpr Duration kOrphanRequestInterval = std::chrono::milliseconds(100);
-// A cancel may be lost with a link. It is repeated well before the caller submits the job again,
-// which takes it more than a second.
+// A cancel may be lost with a link. Until the runs have ended they hold capacity, and the job
+// cannot be admitted again.
 constexpr Duration kCancelRetryInterval = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -25,12 +25,18 @@
   const auto item = m_jobs.find(key);
   if (item == m_jobs.end()) return;
   Job& job = item->second;
-  if (job.pending_resubmission && job.pending_resubmission->token() == event.token()) {
-    job.pending_resubmission.reset();
+  auto& waiting = job.resubmissions;
+  const auto left = std::find_if(waiting.begin(), waiting.end(), [&](const Resubmission& one) {
+    return one.event.token() == event.token();
+  });
+  if (left != waiting.end()) {
+    waiting.erase(left);
     return;
   }
   auto& callers = job.callers;
-  callers.erase(std::remove(callers.begin(), callers.end(), event.token()), callers.end());
+  callers.erase(std::remove_if(callers.begin(), callers.end(),
+                               [&](const Caller& caller) { return caller.token == event.token(); }),
+                callers.end());
   if (!callers.empty() || job.closing) return;
   out.emplace_back(LogEvent(LogLevel::kInfo, "caller_gone",
                             {{"job", detail::JobKeyText(key)},
@@ -178,7 +184,7 @@
 bool JobShard::GiveUpCrashing(Job& job, Instant now, JobEffects& out) {
   const JobOrder& order = *job.order;
   const bool is_confined = m_crashes.ConfinementOf(order.queue(), now) != nullptr;
-  const Duration time_left = job.received_at + order.answer_timeout() - now;
+  const Duration time_left = DeadlineOf(job) - now;
   for (std::uint32_t s = 0; s < job.tasks.size(); ++s) {
     for (std::uint32_t i = 0; i < job.tasks[s].size(); ++i) {
       if (job.tasks[s][i].phase != TaskPhase::kReady) continue;
@@ -208,9 +214,9 @@
 void JobShard::Close(Job& job, JobVerdict verdict, std::optional<Error> cause, Instant now,
                      JobEffects& out) {
   const JobKey key = job.order->key();
-  for (const RequestToken token : job.callers) {
-    out.emplace_back(AnswerCaller(token, verdict, cause, kDefaultRetryAfter, 0));
-    m_callers.erase(token);
+  for (const Caller& caller : job.callers) {
+    out.emplace_back(AnswerCaller(caller.token, verdict, cause, kDefaultRetryAfter, 0));
+    m_callers.erase(caller.token);
   }
   job.callers.clear();
   job.closing = true;
@@ -271,18 +277,18 @@
   });
 }
 
-void JobShard::AnswerWaiting(Job& job, JobVerdict verdict, JobEffects& out) {
-  const RequestToken token = job.pending_resubmission->token();
-  job.pending_resubmission.reset();
-  m_callers.erase(token);
-  Answer(token, verdict, out);
+void JobShard::AnswerResubmissions(Job& job, JobVerdict verdict, JobEffects& out) {
+  for (const Resubmission& waiting : job.resubmissions) {
+    m_callers.erase(waiting.event.token());
+    Answer(waiting.event.token(), verdict, out);
+  }
+  job.resubmissions.clear();
 }
 
 void JobShard::FinalizeJob(JobKey key, Instant now, JobEffects& out) {
   const auto found = m_jobs.find(key);
   if (found == m_jobs.end() || !found->second.closing || HasRunsLeft(found->second)) return;
-  const std::optional<SubmitJobOrder> pending_resubmission =
-      std::move(found->second.pending_resubmission);
+  const std::vector<Resubmission> resubmissions = std::move(found->second.resubmissions);
   if (m_finished.count(key) == 0) {
     HighestRunNumber& highest_run_number = m_highest_run_numbers[key];
     highest_run_number.at = now;
@@ -293,7 +299,10 @@
     }
   }
   m_jobs.erase(found);
-  if (pending_resubmission) Admit(*pending_resubmission, now, out);
+  for (const Resubmission& waiting : resubmissions) {
+    m_callers.erase(waiting.event.token());
+    Submit(waiting.event, waiting.received_at, now, out);
+  }
 }
 
 }  // namespace sapphireflow
--- a/tests/unit/unit-job_shard.cpp
+++ b/tests/unit/unit-job_shard.cpp
@@ -713,7 +713,7 @@
   const RunKey run(TaskKey(kJob, 0, 0, 0), 1);
   const RunReport no_record(run, RunTransition::kEnded, RunEnd::kAbsent, "", "not_here");
   node.Feed(RunReports(kOtherOwner, {no_record}, CapacityUpdate({}, false)));
-  node.Submit({Step(1)}, 2);
+  node.Submit({Step(1)}, 2, Millis(3000));
   CHECK(node.Placed().size() == 1);
   SECTION("its owner is looked for, and stops it") {
     node.lookup.owner = kOwner;
