Try a job whose runs are lost again while its caller has time

Callers saw: a job with 20 s to be answered was given up after 12 runs of a task were lost, although a thirteenth could have ended in time.

Cause: `kMaxRuns`, a figure without a reason.

Change: only the caller's time ends the tries. After three lost runs a task waits for the next tick, so that runs which end at once are not placed again without a pause. Workers to avoid are named once.

The test "lost and stopped runs do not count as failures" lets one tick pass before it counts the fifth run.

--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIREFLOW_DISPATCH_JOB_SHARD_H_
 #define SAPPHIREFLOW_DISPATCH_JOB_SHARD_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -96,7 +97,11 @@
     WorkerId worker;
     std::uint32_t failures = 0;
     std::uint32_t declines = 0;
+    // workers on which runs of the task failed or were lost, each once
     std::vector<WorkerId> avoid;
+    void Avoid(const WorkerId& id) {
+      if (std::find(avoid.begin(), avoid.end(), id) == avoid.end()) avoid.push_back(id);
+    }
     // the process that has the current run, as listed when its start was reported
     std::optional<WorkerIncarnation> incarnation;
     // whether the current run has its worker alone
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -14,10 +14,11 @@
 // answers are kept this long for duplicate submissions that arrive late
 constexpr Duration kFinishedRetention = std::chrono::seconds(10);
 constexpr std::size_t kMaxFinished = 5000;
-// after more consecutive declines than this a task waits for the next tick to be placed again
+// after more consecutive declines or lost runs than this a task waits for the next tick to be
+// placed again
 constexpr std::uint32_t kMaxPromptRetries = 3;
-// number of runs of one task, ended for any reason, after which the job is abandoned
-constexpr std::uint32_t kMaxRuns = 12;
+// By how much the run number of a task rises after a worker has known a higher one.
+constexpr std::uint32_t kStaleRunStep = 12;
 // Ticks arrive every 50 ms. After a longer gap a caller may have left and submitted its job to
 // another entry VM, which takes it more than this.
 constexpr Duration kStallThreshold = std::chrono::milliseconds(1000);
@@ -341,7 +342,7 @@
     return;
   }
   task.phase = TaskPhase::kReady;
-  task.avoid.push_back(report.worker());
+  task.Avoid(report.worker());
   if (report.end() == RunEnd::kFailed) ++task.failures;
   ++task.ended_runs;
   if (job.closing) return;
@@ -359,14 +360,7 @@
           now, out);
     return;
   }
-  if (task.ended_runs >= kMaxRuns) {
-    Close(job, JobVerdict::kExpired,
-          Error(ErrorId::kTaskFailed,
-                "a task was lost " + std::to_string(task.ended_runs) + " times"),
-          now, out);
-    return;
-  }
-  ContinueJob(job, now, out);
+  if (job.refusing || task.ended_runs <= kMaxPromptRetries) ContinueJob(job, now, out);
 }
 
 void JobShard::ContinueJob(Job& job, Instant now, JobEffects& out) {
@@ -382,11 +376,11 @@
   task.phase = TaskPhase::kReady;
   ++task.declines;
   if (report.reason() == CallOutcomeName(CallOutcome::kStaleRun)) {
-    // The job was submitted before through another entry VM, which started at most kMaxRuns runs
-    // of the task.
-    task.run_number += kMaxRuns;
+    // The job was submitted before through another entry VM. How many runs of the task that VM
+    // started is not known.
+    task.run_number += kStaleRunStep;
   } else if (!report.worker().empty()) {
-    task.avoid.push_back(report.worker());
+    task.Avoid(report.worker());
   }
   if (job.closing) return;
   if (job.refusing) {
--- a/src/dispatch/job_shard_endings.cc
+++ b/src/dispatch/job_shard_endings.cc
@@ -140,7 +140,7 @@
                                         {"requests", std::to_string(task.requests)}})));
         out.emplace_back(CounterIncrement("orphaned_runs_total", "state", "lapsed"));
         task.phase = TaskPhase::kReady;
-        if (!unconfirmed) task.avoid.push_back(task.worker);
+        if (!unconfirmed) task.Avoid(task.worker);
         if (task.incarnation) {
           // the worker was not watched meanwhile: weak evidence
           const TaskAtLoss lost(TaskKey(order.key(), 0, s, i), LossRole::kPresent);
--- a/tests/unit/unit-caller_time.cpp
+++ b/tests/unit/unit-caller_time.cpp
@@ -126,3 +126,32 @@
     RC_ASSERT(TicksUntilWithdrawn(100, 2 * timeout, work, wait) >= told);
   }));
 }
+
+TEST_CASE("a job whose runs are lost is tried again while its caller has time") {
+  Coordinator node;
+  node.Submit({Work(100)}, 1, Millis(20000));
+  constexpr std::uint32_t kLostRuns = 30;
+  for (std::uint32_t number = 1; number <= kLostRuns; ++number) {
+    node.Report(0, 0, number, RunTransition::kStarted);
+    node.Report(0, 0, number, RunTransition::kEnded, RunEnd::kLapsed);
+    node.Pass(Millis(kTickMs));
+  }
+  CHECK(node.answers.empty());
+  REQUIRE(node.Placed().size() == kLostRuns + 1);
+  node.Report(0, 0, kLostRuns + 1, RunTransition::kStarted);
+  node.Report(0, 0, kLostRuns + 1, RunTransition::kEnded);
+  CHECK(node.VerdictOf(1) == JobVerdict::kCompleted);
+}
+
+// Guards against runs that end at once and are placed again without a pause.
+TEST_CASE("runs that are lost in a row wait for the next tick to be placed again") {
+  Coordinator node;
+  node.Submit({Work(100)}, 1, Millis(20000));
+  for (std::uint32_t number = 1; number <= 10; ++number) {
+    node.Report(0, 0, number, RunTransition::kEnded, RunEnd::kLapsed);
+  }
+  CHECK(node.Placed().size() <= 5);
+  node.Pass(Millis(kTickMs));
+  CHECK(node.Placed().size() <= 6);
+  CHECK(node.answers.empty());
+}
--- a/tests/unit/unit-job_shard.cpp
+++ b/tests/unit/unit-job_shard.cpp
@@ -115,6 +115,7 @@
                 run % 2 == 0 ? RunEnd::kLapsed : RunEnd::kStopped);
   }
   CHECK(node.answers.empty());
+  node.Pass(Millis(50));
   CHECK(node.Placed().size() == 5);
 }
 
@@ -615,12 +616,11 @@
   const auto placed = node.Placed();
   REQUIRE(placed.size() == 2);
   const RunKey next_run = placed.rbegin()->first;
-  // a coordinator abandons a job after 12 runs of a task
   CHECK(next_run.number() > 12);
   const auto* order = std::get_if<PlaceRuns>(&node.messages.back().message());
   REQUIRE(order != nullptr);
   CHECK(order->runs()[0].avoid().empty());
-  // the run number is not a count of runs: the job is not abandoned because of it
+  // the run number is not a count of runs
   node.Report(0, 0, next_run.number(), RunTransition::kEnded, RunEnd::kLapsed);
   CHECK(node.answers.empty());
   CHECK(node.Placed().size() == 3);
