Order waiting runs by their caller's time, not behind a missed objective

Callers saw: once the objective of a job had passed, its runs waited behind all later ones of the same priority, under load until the deadline, although the caller had as much use for the answer as before.

Change: within a priority and among new jobs, runs that are expected to end before their caller's deadline come before those that may only if they are short; equal ones start by least slack until the objective, passed or not. The latest start is fixed, so no run is overtaken for ever.

--- a/include/sapphireflow/ownership/start_order_policy.h
+++ b/include/sapphireflow/ownership/start_order_policy.h
@@ -89,17 +89,19 @@
   bool Before(const WaitingRun& a, const WaitingRun& b, Instant now) const override;
 };
 
-/// @brief Runs that can still meet their objective, by increasing slack; then all others.
+/// @brief Baseline policy: least slack until the objective first, whether it has passed or not.
 class LeastSlackOrder : public StartOrderPolicy {
  public:
   bool Before(const WaitingRun& a, const WaitingRun& b, Instant now) const override;
 };
 
 /// @brief Highest priority first; within a priority, runs of jobs that have begun before others,
-/// then as `LeastSlackOrder`. Runs that cannot end before their deadline come after all others.
+/// then runs that are expected to end before their caller's deadline, then as `LeastSlackOrder`.
+/// Runs that cannot end before their deadline come after all others.
 ///
-/// For runs of one priority and of jobs that have not begun, which can all end before their
-/// deadline, the order is that of `LeastSlackOrder`.
+/// The caller's time decides which runs come first, because a worker's time is lost on a run that
+/// ends too late. The objective only orders runs that can all be answered: one that has passed puts
+/// no run behind later ones.
 class PrioritySlackOrder : public StartOrderPolicy {
  public:
   bool Before(const WaitingRun& a, const WaitingRun& b, Instant now) const override;
--- a/src/ownership/start_order_policy.cc
+++ b/src/ownership/start_order_policy.cc
@@ -3,9 +3,23 @@
 
 #include <tuple>
 
+#include "sapphireflow/dispatch/owner_choice.h"
 #include "sapphireflow/dispatch/shortest_run_time.h"
 
 namespace sapphireflow {
+namespace {
+
+// The latest start with which the run is expected to meet its job's objective. It is fixed, so that
+// no run can be overtaken again and again by later ones.
+Instant LatestStart(const WaitingRun& waiting) {
+  return waiting.objective_at() - waiting.order().estimate();
+}
+
+bool IsExpectedInTime(const WaitingRun& waiting, Instant now) {
+  return FinishesWithMargin(waiting.order().estimate(), waiting.useful_until() - now);
+}
+
+}  // namespace
 
 bool CanEndInTime(const WaitingRun& waiting, Instant now, double slowness) {
   return now + ShortestRunTime(waiting.order().estimate(), slowness) <= waiting.useful_until();
@@ -15,18 +29,16 @@
   return a.queued_since() < b.queued_since();
 }
 
-bool LeastSlackOrder::Before(const WaitingRun& a, const WaitingRun& b, Instant now) const {
-  const Instant latest_a = a.objective_at() - a.order().estimate();
-  const Instant latest_b = b.objective_at() - b.order().estimate();
-  return std::make_tuple(latest_a < now, latest_a, a.queued_since()) <
-         std::make_tuple(latest_b < now, latest_b, b.queued_since());
+bool LeastSlackOrder::Before(const WaitingRun& a, const WaitingRun& b, Instant /*now*/) const {
+  return std::make_tuple(LatestStart(a), a.queued_since()) <
+         std::make_tuple(LatestStart(b), b.queued_since());
 }
 
 bool PrioritySlackOrder::Before(const WaitingRun& a, const WaitingRun& b, Instant now) const {
   const auto rank = [now](const WaitingRun& waiting) {
-    const Instant latest = waiting.objective_at() - waiting.order().estimate();
     return std::make_tuple(!CanEndInTime(waiting, now), waiting.priority(), !waiting.job_begun(),
-                           latest < now, latest, waiting.queued_since());
+                           !IsExpectedInTime(waiting, now), LatestStart(waiting),
+                           waiting.queued_since());
   };
   return rank(a) < rank(b);
 }
