Tell refused callers when room is expected, spread over as long

Callers saw: a job refused after it had waited was told to come back after 1 s although 6 s of work of higher priority were ahead; callers refused together for one queue came back in the same second; under overload control the time was 1 to 4 s by two fixed shares.

Cause: `kDefaultRetryAfter` where the wait was not looked up, and a hash over figures that followed from nothing known.

Change: Retry-After is the expected wait, spread over as long again, since the work ahead takes that long to serve. Under overload control it is spread over 1/share seconds, in which those refused in one second can be served at the admitted rate. One job gets the same answer each time.

--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -81,7 +81,7 @@
   std::vector<RunKey> DoubtedRuns() const;
 
  private:
-  // retry delay for a refused caller if no better estimate is known
+  // retry delay for a refused caller if no owner is known
   static constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
 
   // kBlocked: waits for an earlier step; kReady: to be placed; kPlaced: sent to an owner;
@@ -170,6 +170,8 @@
   static bool IsWaiting(const Job& job, const std::string& queue);
   std::optional<Error> AdmissionError(const JobOrder& order, Duration time_left, Instant now,
                                       Duration* retry_after) const;
+  // when the caller of a job that is refused now may come back
+  Duration RetryAfterRoom(const JobOrder& order, Instant now) const;
   // Closes a job with a task that must not run again, or can no longer run in time.
   // @return whether it did.
   bool GiveUpCrashing(Job& job, Instant now, JobEffects& out);
--- a/src/admission/overload_controller.cc
+++ b/src/admission/overload_controller.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "sapphireflow/admission/retry_after.h"
+
 namespace sapphireflow {
 namespace {
 
@@ -39,9 +41,9 @@
 constexpr std::uint32_t kLastClassSteps = 10;
 constexpr double kMaxTopPortion = 0.5;
 constexpr double kCpuUseDecay = 0.6;
-// Share below which callers are sent away for longer.
-constexpr double kDeepShare = 0.5;
-constexpr double kDeepestShare = 0.25;
+// The share recovers within a second after the load has gone, so longer waits serve nobody.
+constexpr Duration kMaxRetrySpread = std::chrono::seconds(8);
+constexpr double kMillisPerSecond = 1000.0;
 
 std::size_t IndexOf(EventLoop loop) { return static_cast<std::size_t>(loop); }
 
@@ -56,19 +58,11 @@
   return static_cast<EventLoop>(std::max_element(delays.begin(), delays.end()) - delays.begin());
 }
 
-// Spreads the bits of a name (finalizer of SplitMix64), because names may be consecutive numbers.
-std::uint64_t Mix(std::uint64_t value) {
-  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
-  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-  return value ^ (value >> 31U);
-}
-
-// 1 to 2 s, up to 3 s or 4 s in a deeper overload, spread so that callers do not return at once
-std::chrono::seconds RetryAfter(JobKey key, double share) {
-  std::uint64_t values = 2;
-  if (share < kDeepShare) ++values;
-  if (share < kDeepestShare) ++values;
-  return std::chrono::seconds(1 + Mix(key) % values);
+// Callers that are refused in one second are so many more than those admitted that they are served
+// in as many seconds as the share goes into one.
+std::chrono::seconds RetryAfterShedding(JobKey key, double share) {
+  const Duration spread = FromMillis(kMillisPerSecond / share);
+  return RetryAfter(key, Duration::zero(), std::min<Duration>(kMaxRetrySpread, spread));
 }
 
 }  // namespace
@@ -151,10 +145,11 @@
   priority.offered += 1;
   m_offered += 1;
   const Duration delay = m_loops[IndexOf(WorstLoop(job.at()))].At(job.at());
-  if (job.time_left() <= delay) return OverloadVerdict::Refuse(RetryAfter(job.key(), m_share));
+  if (job.time_left() <= delay)
+    return OverloadVerdict::Refuse(RetryAfterShedding(job.key(), m_share));
   if (priority.share >= 1) return OverloadVerdict::Admit();
   priority.credit += priority.share;
-  if (priority.credit < 1) return OverloadVerdict::Refuse(RetryAfter(job.key(), m_share));
+  if (priority.credit < 1) return OverloadVerdict::Refuse(RetryAfterShedding(job.key(), m_share));
   priority.credit -= 1;
   return OverloadVerdict::Admit();
 }
--- a/src/dispatch/job_shard_admission.cc
+++ b/src/dispatch/job_shard_admission.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphireflow/admission/retry_after.h"
 #include "sapphireflow/dispatch/detail/job_key_text.h"
 #include "sapphireflow/dispatch/job_shard.h"
 
@@ -28,7 +29,7 @@
   }
   if (const auto wait = m_feasibility->RefusalWait(
           order, room, time_left, m_capacity_view.SmallestSlowness(order.service()))) {
-    *retry_after = *wait;
+    *retry_after = RetryAfter(order.key(), *wait, *wait);
     return Error(ErrorId::kCannotFinishInTime,
                  "the wait for a free worker is " + std::to_string(ToMillis(*wait)) + " ms");
   }
@@ -45,6 +46,12 @@
   return std::nullopt;
 }
 
+Duration JobShard::RetryAfterRoom(const JobOrder& order, Instant now) const {
+  const auto wait = m_capacity_view.RoomFor(order, now).FirstStart();
+  if (!wait) return kDefaultRetryAfter;
+  return RetryAfter(order.key(), *wait, *wait);
+}
+
 void JobShard::Submit(const SubmitJobOrder& event, Instant received_at, Instant now,
                       JobEffects& out) {
   const JobKey key = event.order()->key();
--- a/src/dispatch/job_shard_endings.cc
+++ b/src/dispatch/job_shard_endings.cc
@@ -214,8 +214,10 @@
 void JobShard::Close(Job& job, JobVerdict verdict, std::optional<Error> cause, Instant now,
                      JobEffects& out) {
   const JobKey key = job.order->key();
+  const Duration retry_after =
+      verdict == JobVerdict::kRefused ? RetryAfterRoom(*job.order, now) : Duration::zero();
   for (const Caller& caller : job.callers) {
-    out.emplace_back(AnswerCaller(caller.token, verdict, cause, kDefaultRetryAfter, 0));
+    out.emplace_back(AnswerCaller(caller.token, verdict, cause, retry_after, 0));
     m_callers.erase(caller.token);
   }
   job.callers.clear();
