--- a/tests/unit/unit-overload_refusal.cpp
+++ b/tests/unit/unit-overload_refusal.cpp
@@ -37,12 +37,14 @@
   void OnCpuUse(const CpuUseSample& /*sample*/) override {}
   OverloadVerdict Decide(const ArrivingJob& job) override {
     jobs.push_back(job);
+    if (admits) return OverloadVerdict::Admit();
     return OverloadVerdict::Refuse(std::chrono::seconds(3));
   }
   OverloadState State(Instant /*now*/) const override {
     return {!jobs.empty(), jobs.empty() ? 1.0 : 0.5, {}, EventLoop::kCallers};
   }
   std::vector<ArrivingJob> jobs;
+  bool admits = false;
 };
 
 class RecordingResponder : public HttpResponder {
@@ -156,6 +158,19 @@
   CHECK(vm.Request("POST", "00000000000000a8", kBody).size() == 1);
 }
 
+// Guards against callers that are told to repeat a request which can never be accepted.
+TEST_CASE("a request that is itself at fault gets no Retry-After") {
+  OverloadedVm vm;
+  vm.controller.admits = true;
+  const auto malformed = vm.Request("POST", kName, "no job");
+  REQUIRE(malformed.size() == 1);
+  CHECK(malformed.front().status() == 400);
+  CHECK(malformed.front().headers().empty());
+  const auto unnamed = vm.Request("POST", "x", kBody);
+  REQUIRE(unnamed.size() == 1);
+  CHECK(unnamed.front().headers().empty());
+}
+
 TEST_CASE("refusals are logged by one line a second") {
   OverloadedVm vm;
   for (int i = 0; i < 50; ++i) {
