Decide anew on an abandoned job that is submitted again

Callers saw: under overload a caller who had left and came back got past overload control, while callers who came for the first time were refused.

Cause: JobShard::Knows counted jobs whose runs are only being stopped.

Change: only jobs in progress or answered count as known.

--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -70,7 +70,8 @@
   JobEffects Apply(const JobInput& in) override;
   /// @brief Number of jobs with a waiting caller.
   std::size_t OpenJobs() const;
-  /// @brief Whether the job is in progress or was answered lately. Complexity: constant.
+  /// @brief Whether the job is in progress or was answered lately, so that another submission gets
+  /// the same answer. A job that was abandoned counts as new. Complexity: constant.
   bool Knows(JobKey key) const;
   /// @brief Number of jobs of the queue of which no task has started.
   std::size_t WaitingJobs(const std::string& queue) const;
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -108,7 +108,8 @@
 
 bool JobShard::Knows(JobKey key) const {
   std::lock_guard<std::mutex> lock(m_mutex);
-  return m_jobs.count(key) > 0 || m_finished.count(key) > 0;
+  const auto found = m_jobs.find(key);
+  return (found != m_jobs.end() && !found->second.closing) || m_finished.count(key) > 0;
 }
 
 std::size_t JobShard::WaitingJobs(const std::string& queue) const {
--- a/tests/unit/unit-overload_refusal.cpp
+++ b/tests/unit/unit-overload_refusal.cpp
@@ -158,6 +158,21 @@
   CHECK(vm.Request("POST", "00000000000000a8", kBody).size() == 1);
 }
 
+// Guards against callers who get past overload control because they have come before.
+TEST_CASE("a job whose caller has left is refused like a new one when it is submitted again") {
+  OverloadedVm vm;
+  const auto submission = DecodeSubmission(0xa7, kBody);
+  const QueueConfig queue("jobs", "shop", "/jobs/", "workshop", 2, 1, 1.6,
+                          std::chrono::milliseconds(60), std::chrono::milliseconds(1500));
+  const auto order =
+      MakeJobOrder(queue, std::get<JobSubmission>(submission), std::chrono::milliseconds(1500));
+  vm.Accept(SubmitJobOrder(99, std::get<JobOrderPtr>(order)));
+  vm.Accept(CallerDisconnected(99));
+  const auto refused = vm.Request("POST", kName, kBody);
+  REQUIRE(refused.size() == 1);
+  CHECK(refused.front().status() == 503);
+}
+
 // Guards against callers that are told to repeat a request which can never be accepted.
 TEST_CASE("a request that is itself at fault gets no Retry-After") {
   OverloadedVm vm;
