Stop a slow run only while another one could end in time

Callers saw: a run that took four times its declared time was stopped with less time left than any other run needs, so the caller got nothing instead of a late answer.

Cause: owners stopped such runs by the declared time alone.

Change: a run is stopped only if the shortest plausible run still fits before its caller's deadline. It counts against its worker in either case.

Evidence: "a run that takes too long is stopped only while another one could end in time" fails on the commit before.

--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -151,7 +151,8 @@
   /// @return whether there is such a run.
   bool Cancel(const RunKey& run, const NodeId& coordinator);
   void CancelAllRunsOf(const NodeId& coordinator);
-  /// @brief Requests the stop of runs that take far longer than expected.
+  /// @brief Marks runs that take far longer than expected, and requests the stop of those of which
+  /// another run could still end before the caller's deadline.
   /// @param slowness expected over declared run time on this worker
   /// @return how many were newly marked.
   std::uint32_t CancelStragglers(double slowness, Instant now);
@@ -203,6 +204,8 @@
     bool is_retry = false;
     // when its coordinator, or any possible one of an unclaimed run, last certainly wanted it
     Instant wanted_at{};
+    // until when an end of the run is of use to the caller; not known for adopted runs
+    std::optional<Instant> useful_until;
     // empty for adopted runs
     std::string queue;
     bool alone = false;
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphireflow/dispatch/shortest_run_time.h"
+
 namespace sapphireflow::detail {
 namespace {
 
@@ -25,8 +27,8 @@
 constexpr Duration kStopRetryInterval = std::chrono::milliseconds(200);
 // How long coordinators have to adopt the runs that a new owner finds on a worker.
 constexpr Duration kAdoptionWait = std::chrono::milliseconds(300);
-// Declared run times are off by 50 % on average. On a logarithmic scale a quarter of the runs takes
-// more than twice the declared time, and almost none more than this multiple.
+// Declared run times are rough. A run that takes this many times what the worker's runs take on
+// average is more likely to stand still than to be long.
 constexpr double kStragglerFactor = 4.0;
 constexpr Duration kMinStragglerTime = std::chrono::milliseconds(250);
 constexpr std::uint32_t kClosedConnectionsOfLoss = 2;
@@ -83,6 +85,7 @@
   record.wanted_at = std::max(
       waiting.wanted_at(), m_liveness.WantedAt(waiting.coordinator(), waiting.order().run(), now));
   record.is_retry = !waiting.order().avoid().empty();
+  record.useful_until = waiting.useful_until();
   record.queue = waiting.queue();
   record.alone = waiting.order().alone();
   m_runs[waiting.order().run()] = record;
@@ -164,11 +167,13 @@
 std::uint32_t WorkerSession::CancelStragglers(double slowness, Instant now) {
   std::uint32_t found = 0;
   for (auto& [run, record] : m_runs) {
-    if (record.phase != RunPhase::kRunning || record.must_stop || !record.coordinator) continue;
+    if (record.phase != RunPhase::kRunning || !record.coordinator) continue;
+    if (record.must_stop || record.straggler) continue;
     const auto expected = FromMillis(ToMillis(record.estimate) * slowness * kStragglerFactor);
     if (now - record.tracked_since < std::max(kMinStragglerTime, expected)) continue;
-    record.must_stop = true;
     record.straggler = true;
+    record.must_stop = !record.useful_until ||
+                       now + ShortestRunTime(record.estimate, slowness) <= *record.useful_until;
     ++found;
   }
   return found;
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -1246,3 +1246,27 @@
   REQUIRE(owner.starts.size() == 2);
   CHECK(owner.starts[1].run().task().job() == 7);
 }
+
+// Guards against a run that is stopped although its caller has no time for another one.
+TEST_CASE("a run that takes too long is stopped only while another one could end in time") {
+  const auto stops_of = [](int deadline_ms) {
+    OwnerHarness owner("consecutive-failures");
+    owner.AcquireWorkers({Listing("w1", 1)});
+    owner.Feed(PlaceRuns(kCoordinator, kService, std::make_shared<const std::string>("payload"),
+                         Millis(300), Millis(deadline_ms), 0,
+                         {RunOrder(Run(0), kTaskNeeds, Millis(100), "", "", 0, {})}, kQueue));
+    REQUIRE(owner.starts.size() == 1);
+    owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+    for (int ms = 0; ms < 400; ms += 50) {
+      CHECK(owner.stops.empty());
+      owner.now += Millis(50);
+      owner.Feed(OwnerTick());
+    }
+    // it counts against the worker in either case
+    CHECK(owner.Lines("stragglers_stopped").size() == 1);
+    return owner.stops.size();
+  };
+  // after four times the declared time, half of it must be left
+  CHECK(stops_of(460) == 1);
+  CHECK(stops_of(440) == 0);
+}
