Read what has arrived before a call counts as lost

Callers saw, beside late workers and under load: starts "unknown" and slow runs stopped by the hundred, before any VM reported overload; their work was stopped and done again.

Cause: the loop of calls left timeouts to libcurl, which checks them before it reads the socket.

Change: the loop keeps the timeouts itself, and ends a call only if its timeout had passed before the sockets were last read. Responses that grow extend their timeout as before, without the poll every 250 ms.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,6 +1,8 @@
 // Part of transport: event loops on libcurl's multi interface, each with one thread and one handle.
 // libcurl is driven by the sockets that are ready: `curl_multi_perform` would poll the socket of
-// each pending call in each iteration, and nearly all pending calls are long polls.
+// each pending call in each iteration, and nearly all pending calls are long polls. The timeouts of
+// calls are kept here and not by libcurl, which would check them before it reads what has arrived:
+// a loop that is late would take replies for lost.
 #include "sapphireflow/transport/http_client.h"
 
 #include <curl/curl.h>
@@ -14,10 +16,10 @@
 #include <cerrno>
 #include <exception>
 #include <future>
-#include <map>
 #include <mutex>
 #include <new>
 #include <optional>
+#include <set>
 #include <string>
 #include <system_error>
 #include <thread>
@@ -29,8 +31,6 @@
 
 constexpr int kPollMillis = 60000;
 constexpr std::size_t kEventsPerWait = 64;
-// libcurl has no timer for a timeout that was extended
-constexpr int kExtendedPollMillis = 250;
 constexpr long kConnectTimeoutMs = 1000;
 constexpr long kMaxConnections = 4096;
 // shorter than the server's idle timeout, so that the server does not close a connection while a
@@ -114,17 +114,21 @@
   }
 
  private:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
   struct Transfer {
     Transfer(const HttpCall& c, Done d) : call(c), done(std::move(d)) {}
     HttpCall call;
     Done done;
-    std::chrono::steady_clock::time_point queued_at = std::chrono::steady_clock::now();
+    TimePoint queued_at = std::chrono::steady_clock::now();
     std::size_t sent = 0;
     std::string received;
     curl_slist* headers = nullptr;
-    std::chrono::steady_clock::time_point started_at{};
-    // size of the response when the timeout was last extended
-    std::size_t extended_at_size = 0;
+    TimePoint started_at{};
+    // when a part of the response was last read; at first when the call was started
+    TimePoint progress_at{};
+    // the call's place in m_deadlines
+    TimePoint deadline{};
   };
 
   static std::size_t OnSend(char* buffer, std::size_t size, std::size_t count, void* user) {
@@ -137,19 +141,17 @@
   }
 
   static std::size_t OnReceive(char* data, std::size_t size, std::size_t count, void* user) {
-    static_cast<Transfer*>(user)->received.append(data, size * count);
+    auto* transfer = static_cast<Transfer*>(user);
+    transfer->received.append(data, size * count);
+    transfer->progress_at = std::chrono::steady_clock::now();
     return size * count;
   }
 
   void WakeUp() const { eventfd_write(m_wakeup.number(), 1); }
 
-  static int OnSocketWanted(CURL* easy, curl_socket_t socket, int what, void* user,
+  static int OnSocketWanted(CURL* /*easy*/, curl_socket_t socket, int what, void* user,
                             void* /*socket_data*/) {
     auto* loop = static_cast<Loop*>(user);
-    const auto found = loop->m_extensible.find(easy);
-    if (found != loop->m_extensible.end()) {
-      found->second = what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : socket;
-    }
     std::uint32_t events = 0;
     if ((what & CURL_POLL_IN) != 0) events |= EPOLLIN;
     if ((what & CURL_POLL_OUT) != 0) events |= EPOLLOUT;
@@ -219,9 +221,10 @@
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxConnectionIdleSeconds);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToCurlMillis(call.timeout()));
     transfer->started_at = std::chrono::steady_clock::now();
-    if (call.max_timeout() > call.timeout()) m_extensible.emplace(easy, CURL_SOCKET_BAD);
+    transfer->progress_at = transfer->started_at;
+    transfer->deadline = transfer->started_at + call.timeout();
+    m_deadlines.emplace(transfer->deadline, easy);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Loop::OnReceive);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
     if (call.method() != "GET") {
@@ -248,35 +251,26 @@
     m_running.emplace(easy, std::move(transfer));
   }
 
-  static long ToCurlMillis(std::chrono::steady_clock::duration length) {
-    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-    return std::max<long>(1, static_cast<long>(millis));
+  // Each part of the response extends the timeout, up to the longest one that the call allows.
+  static TimePoint DeadlineOf(const Transfer& transfer) {
+    const HttpCall& call = transfer.call;
+    const TimePoint last = transfer.started_at + std::max(call.timeout(), call.max_timeout());
+    return std::min<TimePoint>(transfer.progress_at + call.timeout(), last);
   }
 
-  // restarts the timeout of calls whose response has grown; returns whether any is extended
-  bool ExtendTimeouts() {
-    bool any_extended = false;
-    for (const auto& [easy, socket] : m_extensible) {
+  // Ends the calls whose timeout had passed before the sockets were last read.
+  void EndOverdue() {
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_all_read_at) {
+      CURL* easy = m_deadlines.begin()->second;
       Transfer& transfer = *m_running.at(easy);
-      if (transfer.received.size() > transfer.extended_at_size) {
-        transfer.extended_at_size = transfer.received.size();
-        const std::chrono::steady_clock::duration spent =
-            std::chrono::steady_clock::now() - transfer.started_at;
-        const std::chrono::steady_clock::duration limit =
-            std::min<decltype(spent)>(spent + transfer.call.timeout(), transfer.call.max_timeout());
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToCurlMillis(limit));
+      const TimePoint deadline = DeadlineOf(transfer);
+      if (deadline <= m_all_read_at) {
+        EndTransfer(easy, CURLE_OPERATION_TIMEDOUT);
+        continue;
       }
-      any_extended = any_extended || transfer.extended_at_size > 0;
-    }
-    return any_extended;
-  }
-
-  // makes libcurl check the timeouts that were extended
-  void CheckExtendedTimeouts() {
-    // libcurl only marks transfers as ended here, so that no entry is removed
-    for (const auto& [easy, socket] : m_extensible) {
-      if (m_running.at(easy)->extended_at_size == 0) continue;
-      if (socket != CURL_SOCKET_BAD) RunTransfersOf(socket, 0);
+      m_deadlines.erase(m_deadlines.begin());
+      transfer.deadline = deadline;
+      m_deadlines.emplace(deadline, easy);
     }
   }
 
@@ -304,9 +298,9 @@
   }
 
   void EndTransfer(CURL* easy, CURLcode code) {
-    m_extensible.erase(easy);
     auto node = m_running.extract(easy);
     std::unique_ptr<Transfer> transfer = std::move(node.mapped());
+    m_deadlines.erase({transfer->deadline, easy});
     const HttpResult result = ResultOf(easy, code, transfer.get());
     curl_multi_remove_handle(m_multi, easy);
     if (m_idle_handles.size() < kMaxIdleHandles) {
@@ -357,19 +351,21 @@
   }
 
   // rounded up, so that a timer is due when the wait ends
-  int WaitMillis(bool any_extended) const {
-    const int longest = any_extended ? kExtendedPollMillis : kPollMillis;
-    if (!m_timer_at) return longest;
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-        *m_timer_at - std::chrono::steady_clock::now());
-    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, longest));
+  int WaitMillis() const {
+    TimePoint until = TimePoint::max();
+    if (m_timer_at) until = *m_timer_at;
+    if (!m_deadlines.empty()) until = std::min(until, m_deadlines.begin()->first);
+    if (until == TimePoint::max()) return kPollMillis;
+    const auto left =
+        std::chrono::ceil<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
+    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, kPollMillis));
   }
 
   void WaitForEvents() {
-    const bool any_extended = ExtendTimeouts();
     std::array<epoll_event, kEventsPerWait> events{};
-    const int count = epoll_wait(m_epoll.number(), events.data(), static_cast<int>(events.size()),
-                                 WaitMillis(any_extended));
+    const TimePoint looked_at = std::chrono::steady_clock::now();
+    const int count =
+        epoll_wait(m_epoll.number(), events.data(), static_cast<int>(events.size()), WaitMillis());
     for (int i = 0; i < count; ++i) {
       const epoll_event& event = events[static_cast<std::size_t>(i)];
       if (event.data.fd == m_wakeup.number()) {
@@ -384,7 +380,8 @@
       if ((event.events & EPOLLOUT) != 0) ready |= CURL_CSELECT_OUT;
       RunTransfersOf(event.data.fd, ready);
     }
-    if (any_extended) CheckExtendedTimeouts();
+    // with a full buffer, further sockets may be ready
+    if (count < static_cast<int>(kEventsPerWait)) m_all_read_at = looked_at;
   }
 
   void EndCompleted() {
@@ -407,6 +404,7 @@
       if (HasQueued()) continue;
       WaitForEvents();
       EndCompleted();
+      EndOverdue();
     }
     while (!m_running.empty()) EndTransfer(m_running.begin()->first, CURLE_ABORTED_BY_CALLBACK);
     std::vector<std::unique_ptr<Transfer>> added;
@@ -438,11 +436,13 @@
   OnLoopDelay m_on_delay;
   // used by the loop's thread only
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> m_running;
-  // those of them whose timeout may be extended, with their sockets
-  std::map<CURL*, curl_socket_t> m_extensible;
+  // of the running calls; a deadline may have been extended since
+  std::set<std::pair<TimePoint, CURL*>> m_deadlines;
+  // all that had arrived by then has been read
+  TimePoint m_all_read_at{};
   std::vector<CURL*> m_idle_handles;
   // when libcurl has to be told that its timer is due
-  std::optional<std::chrono::steady_clock::time_point> m_timer_at;
+  std::optional<TimePoint> m_timer_at;
   std::thread m_thread;
 };
 
--- a/tests/unit/unit-http_client.cpp
+++ b/tests/unit/unit-http_client.cpp
@@ -197,3 +197,76 @@
   CHECK_FALSE(lost.disconnected());
   CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(5));
 }
+
+namespace {
+
+// responds to one request some time after it was read
+class DelayedServer {
+ public:
+  explicit DelayedServer(Duration delay)
+      : m_delay(delay), m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    socklen_t size = sizeof address;
+    getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
+    port = ntohs(address.sin_port);
+    listen(m_socket, 8);
+    m_thread = std::thread([this] { Serve(); });
+  }
+  ~DelayedServer() {
+    shutdown(m_socket, SHUT_RDWR);
+    close(m_socket);
+    m_thread.join();
+  }
+  void WaitUntilRead() { m_read.get_future().wait(); }
+  std::uint16_t port = 0;
+
+ private:
+  void Serve() {
+    const int client = accept(m_socket, nullptr, nullptr);
+    if (client < 0) return;
+    char buffer[4096];
+    recv(client, buffer, sizeof buffer, 0);
+    m_read.set_value();
+    std::this_thread::sleep_for(m_delay);
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    send(client, response.data(), response.size(), MSG_NOSIGNAL);
+    recv(client, buffer, sizeof buffer, 0);
+    close(client);
+  }
+  const Duration m_delay;
+  const int m_socket;
+  std::promise<void> m_read;
+  std::thread m_thread;
+};
+
+// Sends a call with a timeout of 300 ms, and keeps the client's only thread busy for 600 ms.
+HttpResult CallWhileBusy(Duration response_delay) {
+  DelayedServer server(response_delay);
+  ClosingServer other;
+  HttpClient client(1);
+  std::promise<HttpResult> result;
+  client.Start(HttpCall("GET", Address(INADDR_LOOPBACK, server.port), "/", "", "",
+                        std::chrono::milliseconds(300)),
+               [&result](const HttpResult& read) { result.set_value(read); });
+  server.WaitUntilRead();
+  client.Start(HttpCall("POST", Address(INADDR_LOOPBACK, other.port), "/", "", "BODY",
+                        std::chrono::seconds(2)),
+               [](const HttpResult& /*read*/) {
+                 std::this_thread::sleep_for(std::chrono::milliseconds(600));
+               });
+  return result.get_future().get();
+}
+
+}  // namespace
+
+// A VM without CPU time counted the replies of its workers as lost.
+TEST_CASE("a reply that has arrived in time is not lost because it is read late") {
+  CHECK(CallWhileBusy(std::chrono::milliseconds(100)).end() == CallEnd::kResponded);
+}
+
+TEST_CASE("a reply that is missing when a late loop has read its sockets is lost") {
+  CHECK(CallWhileBusy(std::chrono::seconds(2)).end() == CallEnd::kLost);
+}
