Handle nothing by a configuration that a late VM cannot confirm

Callers saw: CONFIG, a queue answered 404 or served by its former service more than 3 s after the change was acknowledged, by a VM short of CPU time.

Change: the watch confirms the configuration, once its last change has been read, as of when it was sent or held. A VM with a loop over 250 ms late whose configuration was not confirmed within `bounds.config_apply_ms` answers 503 (SF2013) instead of deciding by it. A VM that is on time knows that the store is slow or away, and goes on; so does one whose calls fail. New gauges: `configuration_age_ms`, `read_lag_ms`.

--- a/daemons/dispatch_main.cc
+++ b/daemons/dispatch_main.cc
@@ -85,11 +85,12 @@
       sapphireflow::DispatchSettings(settings.lease_limits(), settings.drain_timeout(),
                                      settings.remote_factor(), "priority-slack",
                                      "slowest-sufficient", "consecutive-failures", "whole-job",
-                                     settings.overload_control()),
+                                     settings.overload_control(), settings.config_apply_time()),
       store, workers, format, metrics, log);
   http.MeasureDelay(service.overload().Listener(sapphireflow::EventLoop::kCalls));
   sapphireflow::platform::JobHttpHandler callers(service.node(), service.events(),
-                                                 service.replies(), format, service.overload());
+                                                 service.replies(), format, service.overload(),
+                                                 service.clock());
   sapphireflow::platform::ReadinessHttpHandler readiness(service.node());
   if (const auto error = service.Start(callers, readiness)) {
     std::cerr << error->code() << " " << error->message() << "\n";
--- a/include/sapphireflow/model/error.h
+++ b/include/sapphireflow/model/error.h
@@ -34,6 +34,7 @@
   kNotBuilt = 2010,
   kNoConfiguration = 2011,
   kOverloaded = 2012,
+  kConfigurationOutdated = 2013,
   // failures: the answer states the fate of each task, except for kHomeGone
   kDeadlinePassed = 3001,
   kTaskFailed = 3002,
--- a/include/sapphireflow/routing/dispatch_event.h
+++ b/include/sapphireflow/routing/dispatch_event.h
@@ -58,6 +58,23 @@
   EvacuatedZones m_zones;
 };
 
+/// @brief The store had accepted no newer configuration than the one in force at this time.
+class ConfigurationConfirmed : public Comparable<ConfigurationConfirmed> {
+ public:
+  explicit ConfigurationConfirmed(Instant as_of) : m_as_of(as_of) {}
+  Instant as_of() const { return m_as_of; }
+  auto Fields() const { return std::tie(m_as_of); }
+
+ private:
+  Instant m_as_of;
+};
+
+/// @brief The store has not answered whether the configuration in force is the newest one.
+class ConfigurationUnconfirmed : public Comparable<ConfigurationUnconfirmed> {
+ public:
+  auto Fields() const { return std::tuple<>(); }
+};
+
 /// @brief The evacuations could not be read; the last known ones stay in force.
 class EvacuationsUnavailable : public Comparable<EvacuationsUnavailable> {
  public:
@@ -105,7 +122,8 @@
     std::variant<SubmitJobOrder, CallerDisconnected, JobOrderRequest, WorkersListed, MembersListed,
                  ConfigurationCopy, DispatchMessage, StoreAnswered, LinkDown, StartReplied,
                  RenewalReplied, DispatchTick, StopPlanned, IntakeClosed, EvacuationsAwaited,
-                 EvacuationsListed, EvacuationsUnavailable>;
+                 EvacuationsListed, EvacuationsUnavailable, ConfigurationConfirmed,
+                 ConfigurationUnconfirmed>;
 
 class DispatchInput : public Comparable<DispatchInput> {
  public:
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -44,6 +44,11 @@
   bool Ready() const { return configuration() && !m_draining && m_capacity.HasWorkers(); }
   /// @return the configuration in force, or null if there is none yet.
   ConfigurationPtr configuration() const { return m_configuration.current(); }
+  /// @brief Whether requests may be handled by the configuration in force.
+  /// @param own_delay how late an event loop of this VM was lately
+  bool ConfigurationIsUsable(Instant now, Duration own_delay) const {
+    return m_configuration.IsUsable(now, own_delay);
+  }
   /// @brief Whether this VM coordinates the job or has answered it lately. Complexity: constant.
   bool KnowsJob(JobKey key) const { return m_jobs[JobShardOf(key)]->Knows(key); }
   /// @brief Whether this VM must read the list of workers from the platform's store itself, because
@@ -91,6 +96,10 @@
   void HandleEvent(const EvacuationsAwaited& event, EventContext& ctx);
   void HandleEvent(const EvacuationsListed& event, EventContext& ctx);
   void HandleEvent(const EvacuationsUnavailable& event, EventContext& ctx);
+  void HandleEvent(const ConfigurationConfirmed& event, EventContext& ctx);
+  void HandleEvent(const ConfigurationUnconfirmed& event, EventContext& ctx);
+  // shows how long ago the configuration was confirmed
+  void ShowConfigurationAge(EventContext& ctx);
 
   void Receive(const PlaceRuns& message, EventContext& ctx);
   void Receive(const CancelRuns& message, EventContext& ctx);
@@ -161,6 +170,7 @@
   std::atomic<Instant::rep> m_capacity_sent_at{0};
   std::atomic<Instant::rep> m_capacity_sent_other_zones_at{0};
   std::atomic<Instant::rep> m_capacity_relayed_at{0};
+  std::atomic<Instant::rep> m_configuration_age_shown_at{0};
   std::atomic<bool> m_intake_closed{false};
   CrashLedger m_crashes;
   CapacityView m_capacity;
--- a/include/sapphireflow/settings/dispatch_settings.h
+++ b/include/sapphireflow/settings/dispatch_settings.h
@@ -15,7 +15,8 @@
   DispatchSettings(const LeaseLimits& leases, Duration drain_timeout, double remote_factor,
                    std::string start_order, std::string owner_choice, std::string outliers,
                    std::string job_feasibility = "whole-job",
-                   std::string overload_control = "adaptive")
+                   std::string overload_control = "adaptive",
+                   Duration config_apply_time = std::chrono::seconds(2))
       : m_leases(leases),
         m_drain_timeout(drain_timeout),
         m_remote_factor(remote_factor),
@@ -23,7 +24,8 @@
         m_owner_choice(std::move(owner_choice)),
         m_outliers(std::move(outliers)),
         m_job_feasibility(std::move(job_feasibility)),
-        m_overload_control(std::move(overload_control)) {}
+        m_overload_control(std::move(overload_control)),
+        m_config_apply_time(config_apply_time) {}
   const LeaseLimits& leases() const { return m_leases; }
   /// @brief Time after the report that a worker drains by which no run starts there any more.
   Duration drain_timeout() const { return m_drain_timeout; }
@@ -39,9 +41,11 @@
   const std::string& job_feasibility() const { return m_job_feasibility; }
   /// @brief `adaptive` or `admit-all`.
   const std::string& overload_control() const { return m_overload_control; }
+  /// @brief Time after the acknowledgement of a configuration by which it is in force.
+  Duration config_apply_time() const { return m_config_apply_time; }
   auto Fields() const {
     return std::tie(m_leases, m_drain_timeout, m_remote_factor, m_start_order, m_owner_choice,
-                    m_outliers, m_job_feasibility, m_overload_control);
+                    m_outliers, m_job_feasibility, m_overload_control, m_config_apply_time);
   }
 
  private:
@@ -54,6 +58,7 @@
   std::string m_outliers;
   std::string m_job_feasibility;
   std::string m_overload_control;
+  Duration m_config_apply_time;
 };
 
 }  // namespace sapphireflow
--- a/include/sapphireflow/transport/directory_watch.h
+++ b/include/sapphireflow/transport/directory_watch.h
@@ -52,6 +52,7 @@
   // the first read of the evacuations since FollowOperators has ended
   void OnEvacuationsTried();
   void RequestConfiguration();
+  void Confirm(Instant as_of);
   void ReadConfiguration();
   // Watches the changes after a read of this revision, unless there is a watch.
   // @return false if the watch began later, so that the read may have missed a change.
@@ -93,6 +94,8 @@
   std::atomic<bool> m_configuration_due{false};
   SingleRead m_evacuations_read;
   SingleRead m_configuration_read;
+  // whether the newest configuration that the watch has told of has been read
+  std::atomic<bool> m_configuration_is_read{false};
   std::atomic<std::uint64_t> m_lease{0};
   std::mutex m_operators_mutex;
   // guarded by m_operators_mutex; empty while there is no watch of what operators write
--- a/include/sapphireflow/transport/dispatch_service.h
+++ b/include/sapphireflow/transport/dispatch_service.h
@@ -83,6 +83,7 @@
   Sink<DispatchEvent>& events();
   PendingReplies& replies();
   OverloadMonitor& overload();
+  const Clock& clock() const;
 
   /// @param callers, readiness request handlers; must stay valid until the service has stopped
   /// @return no value once the service accepts requests, otherwise the error that prevented it.
--- a/include/sapphireflow/transport/overload_monitor.h
+++ b/include/sapphireflow/transport/overload_monitor.h
@@ -12,6 +12,7 @@
 #include "sapphireflow/observe/metrics.h"
 #include "sapphireflow/transport/clock.h"
 #include "sapphireflow/transport/loop_delay.h"
+#include "sapphireflow/transport/recent_delay.h"
 
 namespace sapphireflow {
 
@@ -28,6 +29,8 @@
   /// @brief Decides on a job that arrives now.
   /// @param time_left time until its answer has no value for the caller
   OverloadVerdict Decide(JobKey key, std::uint32_t priority, Duration time_left);
+  /// @brief How late a loop was within the last second.
+  Duration LongestRecentDelay();
   /// @brief Counts a job that was refused by such a decision.
   void CountRefusal(std::uint32_t priority);
   /// @brief Called regularly, at least several times a second: measures the CPU time, writes
@@ -44,6 +47,9 @@
   Metrics& m_metrics;
   EventLog& m_log;
 
+  std::mutex m_recent_mutex;
+  // guarded by m_recent_mutex
+  RecentDelay m_recent_delay;
   std::mutex m_mutex;
   // all below guarded by m_mutex
   Instant m_cpu_measured_at{};
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -53,7 +53,8 @@
       m_capacity(m_self, listing.zone(), MakeOwnerChoice(settings.owner_choice())),
       m_members(listing, settings.leases()),
       m_worker_list(m_self, settings.drain_timeout() - kWorkerListReadTime,
-                    settings.drain_timeout()) {
+                    settings.drain_timeout()),
+      m_configuration(settings.config_apply_time()) {
   const LeaseLimits& leases = settings.leases();
   const Duration claim_lapse = leases.caller_return() + kClaimSendTime;
   const Duration lapse = std::max(leases.max_time_to_expiry() + kTakeoverAllowance, claim_lapse);
@@ -143,16 +144,6 @@
   m_worker_list.OnStoreAnswer(ctx.now);
 }
 
-void DispatchNode::HandleEvent(const ConfigurationCopy& event, EventContext& ctx) {
-  const std::uint64_t before = m_configuration.version();
-  if (!m_configuration.UpdateIfNewer(event.configuration())) return;
-  ctx.out.emplace_back(
-      LogEvent(LogLevel::kInfo, "configuration_in_force",
-               {{"version", std::to_string(event.configuration()->version())},
-                {"before", std::to_string(before)},
-                {"queues", std::to_string(event.configuration()->queues().size())}}));
-}
-
 void DispatchNode::HandleEvent(const DispatchMessage& event, EventContext& ctx) {
   std::visit([&](const auto& message) { Receive(message, ctx); }, event);
 }
@@ -184,6 +175,7 @@
   AnnounceCapacity(ctx);
   RelayCapacity(ctx);
   ShowEvacuatedRuns(ctx);
+  ShowConfigurationAge(ctx);
 }
 
 void DispatchNode::HandleEvent(const StopPlanned& /*event*/, EventContext& ctx) {
--- a/src/transport/directory_watch_operators.cc
+++ b/src/transport/directory_watch_operators.cc
@@ -5,8 +5,9 @@
 namespace sapphireflow {
 namespace {
 
-// A configuration must take effect within two seconds, an evacuation within five. A silent watch is
-// detected within this time and the time limit of a call.
+// A configuration must take effect within two seconds, an evacuation within five. Each answer
+// confirms the configuration. A silent watch is detected within this time and the time limit of a
+// call.
 constexpr Duration kOperatorWatchTimeout = std::chrono::milliseconds(1000);
 
 }  // namespace
@@ -19,6 +20,7 @@
   // Read after the evacuations, from whose revision on both are watched. No change between the two
   // reads is missed, and the evacuations do not wait for the larger value.
   m_configuration_due = true;
+  m_configuration_is_read = false;
   RequestEvacuations();
 }
 
@@ -57,11 +59,17 @@
   if (m_configuration_read.Begin()) ReadConfiguration();
 }
 
+void DirectoryWatch::Confirm(Instant as_of) {
+  if (m_configuration_is_read) m_events.Accept(ConfigurationConfirmed(as_of));
+}
+
 void DirectoryWatch::ReadConfiguration() {
   m_configuration_read.OnSend();
-  m_store.ReadConfiguration([this](const Result<VersionedValue<ConfigurationPtr>>& read) {
+  const Instant sent_at = m_clock.Now();
+  m_store.ReadConfiguration([this, sent_at](const Result<VersionedValue<ConfigurationPtr>>& read) {
     UpdateStoreStatus(std::get_if<Error>(&read));
     const auto* reading = std::get_if<VersionedValue<ConfigurationPtr>>(&read);
+    if (reading == nullptr) m_events.Accept(ConfigurationUnconfirmed());
     if (reading == nullptr || !reading->value()) {
       RunAfter(kRetryDelay, [this] { ReadConfiguration(); });
       return;
@@ -70,7 +78,12 @@
         [&] {
           m_events.Accept(ConfigurationCopy(reading->value()));
           if (!WatchOperatorsFrom(reading->revision())) m_configuration_read.Begin();
-          if (m_configuration_read.End()) ReadConfiguration();
+          if (m_configuration_read.End()) {
+            ReadConfiguration();
+          } else {
+            m_configuration_is_read = true;
+            Confirm(sent_at);
+          }
         },
         &DirectoryWatch::ReadConfiguration);
   });
@@ -92,10 +105,12 @@
 }
 
 void DirectoryWatch::WatchOperators(std::uint64_t after) {
+  const Instant sent_at = m_clock.Now();
   m_store.WatchOperators(
       after, kOperatorWatchTimeout,
-      [this](WatchEnd end, std::uint64_t revision, const OperatorChanges& changes) {
+      [this, sent_at](WatchEnd end, std::uint64_t revision, const OperatorChanges& changes) {
         if (end == WatchEnd::kFailed) {
+          m_events.Accept(ConfigurationUnconfirmed());
           RunAfter(kRetryDelay, [this] { FollowOperators(); });
           return;
         }
@@ -105,7 +120,12 @@
         }
         UpdateStoreStatus(nullptr);
         if (changes.evacuations()) RequestEvacuations();
-        if (changes.configuration()) RequestConfiguration();
+        if (changes.configuration()) {
+          m_configuration_is_read = false;
+          RequestConfiguration();
+        }
+        // the store held an empty answer for as long as it was asked to
+        Confirm(end == WatchEnd::kUnchanged ? sent_at + kOperatorWatchTimeout : sent_at);
         WatchOperators(revision);
       });
 }
--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -62,6 +62,7 @@
   Sink<DispatchEvent>& events() { return m_runner; }
   PendingReplies& replies() { return m_replies; }
   OverloadMonitor& overload() { return m_overload; }
+  const Clock& clock() const { return m_clock; }
 
   std::optional<Error> Start(HttpHandler& callers, HttpHandler& readiness) {
     m_callers = std::make_unique<HttpServer>(m_service_options.callers(), 1, callers, &m_gate,
@@ -198,6 +199,8 @@
 
 OverloadMonitor& DispatchService::overload() { return m_impl->overload(); }
 
+const Clock& DispatchService::clock() const { return m_impl->clock(); }
+
 std::optional<Error> DispatchService::Start(HttpHandler& callers, HttpHandler& readiness) {
   return m_impl->Start(callers, readiness);
 }
--- a/src/transport/overload_monitor.cc
+++ b/src/transport/overload_monitor.cc
@@ -38,6 +38,8 @@
     const Instant now = m_clock.Now();
     const Instant next_due = next_in > Duration::zero() ? now + next_in : kNever;
     m_controller->OnLoopDelay(LoopDelaySample(loop, delay, now, next_due));
+    std::lock_guard<std::mutex> lock(m_recent_mutex);
+    m_recent_delay.Add(delay, now);
   };
 }
 
@@ -45,6 +47,12 @@
   return m_controller->Decide(ArrivingJob(key, priority, time_left, m_clock.Now()));
 }
 
+Duration OverloadMonitor::LongestRecentDelay() {
+  const Instant now = m_clock.Now();
+  std::lock_guard<std::mutex> lock(m_recent_mutex);
+  return m_recent_delay.Longest(now);
+}
+
 void OverloadMonitor::CountRefusal(std::uint32_t priority) {
   m_metrics.IncrementCounter("jobs_shed_total", "priority", std::to_string(priority));
   std::lock_guard<std::mutex> lock(m_mutex);
@@ -79,6 +87,7 @@
                          ToMillis(state.delays()[i]));
     }
     m_metrics.SetGauge("admitted_share", "priority", "all", state.admitted_share());
+    m_metrics.SetGauge("read_lag_ms", "", "", ToMillis(LongestRecentDelay()));
   }
   m_least_share = std::min(m_least_share, state.admitted_share());
   m_longest_delay = std::max(m_longest_delay, state.worst_delay());
--- a/tests/unit/unit-directory_watch.cpp
+++ b/tests/unit/unit-directory_watch.cpp
@@ -282,6 +282,8 @@
     }
     if (std::holds_alternative<EvacuationsUnavailable>(event)) m_kinds.emplace_back("unavailable");
     if (std::holds_alternative<ConfigurationCopy>(event)) m_kinds.emplace_back("configuration");
+    if (std::holds_alternative<ConfigurationConfirmed>(event)) ++m_confirmations;
+    if (std::holds_alternative<ConfigurationUnconfirmed>(event)) ++m_doubts;
     if (std::holds_alternative<WorkersListed>(event) && !std::exchange(m_has_workers, true)) {
       m_kinds.emplace_back("workers");
     }
@@ -290,12 +292,22 @@
     std::lock_guard<std::mutex> lock(m_mutex);
     return m_kinds;
   }
+  int confirmations() const {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_confirmations;
+  }
+  int doubts() const {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_doubts;
+  }
 
  private:
   mutable std::mutex m_mutex;
   // all below guarded by m_mutex
   std::vector<std::string> m_kinds;
   bool m_has_workers = false;
+  int m_confirmations = 0;
+  int m_doubts = 0;
 };
 
 // a watch on a store that the test answers
@@ -415,3 +427,24 @@
   CHECK(test.events.kinds().back() == "evacuated: leon");
   CHECK(test.store.watches_of_operators.count() == 1);
 }
+
+// Guards against a VM that handles requests by a configuration which it knows to be replaced.
+TEST_CASE("a configuration is confirmed by the watch only once its last change has been read") {
+  OperatorWatchTest test;
+  test.watch.Start();
+  test.store.AnswerEvacuations(5, {});
+  CHECK(test.events.confirmations() == 0);
+  test.store.AnswerConfiguration(7);
+  CHECK(test.events.confirmations() == 1);
+  test.store.AnswerWatch(WatchEnd::kUnchanged, 9, false, false);
+  CHECK(test.events.confirmations() == 2);
+  test.store.AnswerWatch(WatchEnd::kChanged, 10, true, false);
+  test.store.AnswerWatch(WatchEnd::kUnchanged, 11, false, false);
+  CHECK(test.events.confirmations() == 2);
+  test.store.AnswerConfiguration(12);
+  CHECK(test.events.confirmations() == 3);
+  CHECK(test.events.doubts() == 0);
+  test.store.AnswerWatch(WatchEnd::kFailed, 13, false, false);
+  CHECK(test.events.doubts() == 1);
+  CHECK(test.events.confirmations() == 3);
+}
--- a/tests/unit/unit-overload_refusal.cpp
+++ b/tests/unit/unit-overload_refusal.cpp
@@ -97,6 +97,10 @@
     m_monitor.OnTick();
   }
 
+  void Delay(Duration delay) { m_monitor.Listener(EventLoop::kCallers)(delay, Duration::zero()); }
+
+  Instant now() const { return m_clock.now; }
+
   std::vector<DispatchEvent> events;
   RecordingLog log;
   Metrics metrics;
@@ -116,7 +120,7 @@
   PendingReplies m_replies;
   AnswerFormat m_format;
   OverloadMonitor m_monitor{std::move(m_owned_controller), 250, m_clock, metrics, log};
-  JobHttpHandler m_handler{m_node, *this, m_replies, m_format, m_monitor};
+  JobHttpHandler m_handler{m_node, *this, m_replies, m_format, m_monitor, m_clock};
 };
 
 const std::string kName = "00000000000000a7";
@@ -173,6 +177,37 @@
   CHECK(refused.front().status() == 503);
 }
 
+// A VM short of CPU time answered 404 for a queue that had been added 3.6 s before.
+TEST_CASE("a late VM whose configuration was not confirmed in time handles nothing by it") {
+  OverloadedVm vm;
+  vm.controller.admits = true;
+  const auto status_after = [&vm](Duration pause, int own_delay_ms) {
+    vm.Tick(pause);
+    vm.Delay(std::chrono::milliseconds(own_delay_ms));
+    const auto responses = vm.Request("GET", "x/y", "");
+    return responses.empty() ? 0 : responses.front().status();
+  };
+  // nothing is known of the store yet
+  CHECK(status_after(std::chrono::seconds(10), 900) == 410);
+  vm.Accept(ConfigurationConfirmed(vm.now()));
+  CHECK(status_after(std::chrono::milliseconds(1800), 900) == 410);
+  SECTION("a VM that is on time knows that the store is slow") {
+    CHECK(status_after(std::chrono::seconds(3), 100) == 410);
+  }
+  SECTION("a late one does not") {
+    CHECK(status_after(std::chrono::milliseconds(100), 900) == 503);
+    CHECK(vm.Request("POST", kName, kBody).front().headers() == HttpHeaders{{"Retry-After", "1"}});
+    vm.Accept(ConfigurationConfirmed(vm.now()));
+    CHECK(status_after(std::chrono::milliseconds(100), 900) == 410);
+  }
+  SECTION("it goes on while the store is away, as a zone that is cut off has to serve") {
+    vm.Accept(ConfigurationUnconfirmed());
+    CHECK(status_after(std::chrono::seconds(30), 900) == 410);
+    vm.Accept(ConfigurationConfirmed(vm.now() - std::chrono::seconds(3)));
+    CHECK(status_after(std::chrono::milliseconds(1), 900) == 503);
+  }
+}
+
 // Guards against callers that are told to repeat a request which can never be accepted.
 TEST_CASE("a request that is itself at fault gets no Retry-After") {
   OverloadedVm vm;
