Count the lateness of both VMs before a member counts as lost

VMs that were alive counted each other as lost (no_echo, silent: 28 in the first half second), orphaned each other's runs, claimed and cancelled them, and moved workers between owners; this work took the CPU time that they were short of.

Cause: silence counted from the reading of a heartbeat to the tick, so a VM that was late took unread heartbeats for silence, and an echo that both sides delayed for a dead link (hypothesis 2). Ends of runs that had not been read were taken for stragglers in the same way.

Change: each tick carries how late a loop of this VM was within the last second, and each heartbeat how late its sender was; both extend the silence after which a member is lost, by 2 s at most. Slow runs are judged by what has been read. Leases end by what was confirmed, as before: no bound of theirs uses the silence timeout.

Evidence: two tests, "a member is not lost because its heartbeats are late at either end" and "an owner that is late stops no run whose end may have arrived"; both fail with the allowance taken out.

--- a/include/sapphireflow/dispatch/dispatch_message.h
+++ b/include/sapphireflow/dispatch/dispatch_message.h
@@ -346,7 +346,7 @@
                   std::uint64_t link_losses, std::uint64_t configuration_version,
                   std::uint64_t token_floor, bool parting = false,
                   const std::optional<WorkerListOffer>& worker_list = std::nullopt,
-                  std::vector<RunKey> doubted_runs = {})
+                  std::vector<RunKey> doubted_runs = {}, Duration delay = Duration::zero())
       : m_from(std::move(from)),
         m_draining(draining),
         m_sequence(sequence),
@@ -356,7 +356,8 @@
         m_token_floor(token_floor),
         m_parting(parting),
         m_worker_list(worker_list),
-        m_doubted_runs(std::move(doubted_runs)) {}
+        m_doubted_runs(std::move(doubted_runs)),
+        m_delay(delay) {}
   const MemberListing& from() const { return m_from; }
   bool draining() const { return m_draining; }
   std::uint64_t sequence() const { return m_sequence; }
@@ -376,9 +377,11 @@
   /// @brief Runs that the sender coordinates and may give up: their owners must not extend their
   /// leases on the strength of this heartbeat.
   const std::vector<RunKey>& doubted_runs() const { return m_doubted_runs; }
+  /// @brief How late an event loop of the sender was lately.
+  Duration delay() const { return m_delay; }
   auto Fields() const {
     return std::tie(m_from, m_draining, m_sequence, m_echo, m_link_losses, m_configuration_version,
-                    m_token_floor, m_parting, m_worker_list, m_doubted_runs);
+                    m_token_floor, m_parting, m_worker_list, m_doubted_runs, m_delay);
   }
 
  private:
@@ -392,6 +395,7 @@
   bool m_parting;
   std::optional<WorkerListOffer> m_worker_list;
   std::vector<RunKey> m_doubted_runs;
+  Duration m_delay;
 };
 
 /// @brief Owner to the members of its zone and to the relays of other zones: the free capacity of
--- a/include/sapphireflow/membership/member_table.h
+++ b/include/sapphireflow/membership/member_table.h
@@ -98,7 +98,8 @@
   /// @brief Records the loss of a connection. The next `OnTick` reports it once, however many
   /// losses occurred before.
   void OnLinkDown(const Address& peer, Instant now);
-  MemberChanges OnTick(Instant now);
+  /// @param own_delay how late an event loop of this VM was lately
+  MemberChanges OnTick(Instant now, Duration own_delay = Duration::zero());
   /// @brief Records that the platform's store has answered this VM.
   void OnStoreAnswer(Instant now);
   void SetDraining();
@@ -172,6 +173,8 @@
     Instant grace_until{};
     Instant next_heartbeat_at{};
     std::uint64_t heard_sequence = 0;
+    // how late the member's loops were, by its newest heartbeat
+    Duration delay{};
     std::uint64_t sent_sequence = 0;
     // sequence numbers and send times of the newest heartbeats sent
     std::deque<std::pair<std::uint64_t, Instant>> sent;
@@ -229,6 +232,8 @@
   // since when most members are unreachable; empty while most are reachable
   std::optional<Instant> m_majority_lost_at;
   Instant m_last_tick_at{};
+  // how late this VM's loops were, by the last tick
+  Duration m_own_delay{};
 };
 
 }  // namespace sapphireflow
--- a/include/sapphireflow/ownership/detail/worker_session.h
+++ b/include/sapphireflow/ownership/detail/worker_session.h
@@ -154,8 +154,9 @@
   /// @brief Marks runs that take far longer than expected, and requests the stop of those of which
   /// another run could still end before the caller's deadline.
   /// @param slowness expected over declared run time on this worker
+  /// @param read_until all ends that had arrived by then are known
   /// @return how many were newly marked.
-  std::uint32_t CancelStragglers(double slowness, Instant now);
+  std::uint32_t CancelStragglers(double slowness, Instant read_until, Instant now);
   /// @brief Requests the stop of runs that their coordinators have not certainly wanted for
   /// `LeaseLimits::orphan_stop_after`.
   /// @return the runs that were newly marked.
--- a/include/sapphireflow/ownership/owner_event.h
+++ b/include/sapphireflow/ownership/owner_event.h
@@ -94,7 +94,14 @@
 /// @brief Periodic event for work that depends on time only.
 class OwnerTick : public Comparable<OwnerTick> {
  public:
-  auto Fields() const { return std::tuple<>(); }
+  explicit OwnerTick(Duration own_delay = Duration::zero()) : m_own_delay(own_delay) {}
+  /// @brief How late an event loop of this VM was lately: what has arrived since then may not have
+  /// been read yet.
+  Duration own_delay() const { return m_own_delay; }
+  auto Fields() const { return std::tie(m_own_delay); }
+
+ private:
+  Duration m_own_delay;
 };
 
 using OwnerEvent = std::variant<WorkerAssignment, CoordinatorLost, PlaceRuns, CancelRuns, AdoptRun,
--- a/include/sapphireflow/routing/dispatch_event.h
+++ b/include/sapphireflow/routing/dispatch_event.h
@@ -101,7 +101,14 @@
 /// @brief The periodic timer has fired.
 class DispatchTick : public Comparable<DispatchTick> {
  public:
-  auto Fields() const { return std::tuple<>(); }
+  explicit DispatchTick(Duration own_delay = Duration::zero()) : m_own_delay(own_delay) {}
+  /// @brief How late an event loop of this VM was lately: what has arrived since then may not have
+  /// been read yet.
+  Duration own_delay() const { return m_own_delay; }
+  auto Fields() const { return std::tie(m_own_delay); }
+
+ private:
+  Duration m_own_delay;
 };
 
 /// @brief First phase of a planned stop: other members take over the workers, and no new
--- a/include/sapphireflow/routing/dispatch_node.h
+++ b/include/sapphireflow/routing/dispatch_node.h
@@ -171,6 +171,8 @@
   std::atomic<Instant::rep> m_capacity_sent_other_zones_at{0};
   std::atomic<Instant::rep> m_capacity_relayed_at{0};
   std::atomic<Instant::rep> m_configuration_age_shown_at{0};
+  // as of the last tick
+  std::atomic<Duration> m_own_delay{Duration::zero()};
   std::atomic<bool> m_intake_closed{false};
   CrashLedger m_crashes;
   CapacityView m_capacity;
--- a/src/codec/dispatch_codec.cc
+++ b/src/codec/dispatch_codec.cc
@@ -192,7 +192,8 @@
           m.parting(),
           m.worker_list() ? m.worker_list()->version() : 0,
           m.worker_list() ? m.worker_list()->age().count() : 0,
-          WriteAll(m.doubted_runs())};
+          WriteAll(m.doubted_runs()),
+          m.delay().count()};
 }
 Json Body(const CapacityAnnouncement& m) {
   return {detail::Write(m.owner()), m.zone(), WriteAll(m.digests())};
@@ -283,7 +284,8 @@
                          j.at(7).get<std::uint64_t>(), j.at(8).get<std::uint64_t>(),
                          // not sent by earlier versions
                          j.size() > 9 && j.at(9).get<bool>(), ReadWorkerListOffer(j),
-                         j.size() > 12 ? ReadList(j.at(12), ReadRun) : std::vector<RunKey>());
+                         j.size() > 12 ? ReadList(j.at(12), ReadRun) : std::vector<RunKey>(),
+                         Duration(j.size() > 13 ? j.at(13).get<Duration::rep>() : 0));
 }
 CapacityAnnouncement ReadAnnouncement(const Json& j) {
   return {detail::ReadNodeId(j.at(0)), j.at(1).get<std::string>(),
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -22,6 +22,8 @@
 // lapse, and shorter than the time of 1 s or more after which callers resubmit a job.
 constexpr int kMissedHeartbeatLimit = 4;
 constexpr Duration kMaxSilence = std::chrono::milliseconds(1000);
+// A VM that is later than this is replaced as if it had ended.
+constexpr Duration kMaxDelayAllowance = std::chrono::milliseconds(2000);
 // A new contact counts as reachable for this long before its first heartbeat: processes start
 // within 1 s.
 constexpr Duration kStartupGrace = std::chrono::milliseconds(1500);
@@ -125,6 +127,7 @@
   member.heard_at = now;
   if (member_heartbeat.sequence() > member.heard_sequence) {
     member.heard_sequence = member_heartbeat.sequence();
+    member.delay = member_heartbeat.delay();
     std::map<RunKey, Instant> doubted_runs;
     for (const RunKey& run : member_heartbeat.doubted_runs()) {
       doubted_runs.emplace(run, WantedAt(member, run));
@@ -222,7 +225,8 @@
 }
 
 Duration MemberTable::SilenceTimeout(const Member& member) const {
-  return std::min(kMissedHeartbeatLimit * HeartbeatInterval(member), kMaxSilence);
+  const Duration silence = std::min(kMissedHeartbeatLimit * HeartbeatInterval(member), kMaxSilence);
+  return silence + std::min(m_own_delay + member.delay, kMaxDelayAllowance);
 }
 
 void MemberTable::OnLinkDown(const Address& peer, Instant now) {
@@ -242,9 +246,10 @@
   changes.emplace_back(MemberChange::Kind::kLost, member.node, why);
 }
 
-MemberChanges MemberTable::OnTick(Instant now) {
+MemberChanges MemberTable::OnTick(Instant now, Duration own_delay) {
   MemberChanges changes;
   std::lock_guard<std::mutex> lock(m_mutex);
+  m_own_delay = own_delay;
   m_last_tick_at = now;
   bool forgotten = false;
   for (auto item = m_members.begin(); item != m_members.end();) {
--- a/src/ownership/owner_shard.cc
+++ b/src/ownership/owner_shard.cc
@@ -295,13 +295,15 @@
   ApplyDelta(found->second, delta, now, out);
 }
 
-void OwnerShard::On(const OwnerTick& /*event*/, Instant now, OwnerEffects& out) {
+void OwnerShard::On(const OwnerTick& event, Instant now, OwnerEffects& out) {
   for (auto& [id, owned] : m_workers) {
     Session& session = owned.session;
     Delta delta;
     session.ExpireLeases(now, delta);
     StopOrphans(owned, now, out);
-    const std::uint32_t stragglers = session.CancelStragglers(m_speeds.Slowness(id), now);
+    // an end that has arrived may not have been read yet
+    const std::uint32_t stragglers =
+        session.CancelStragglers(m_speeds.Slowness(id), now - event.own_delay(), now);
     for (std::uint32_t i = 0; i < stragglers; ++i) {
       m_policies.outliers().OnFailure(session.listing().address(), now);
     }
--- a/src/ownership/worker_session.cc
+++ b/src/ownership/worker_session.cc
@@ -164,13 +164,13 @@
   }
 }
 
-std::uint32_t WorkerSession::CancelStragglers(double slowness, Instant now) {
+std::uint32_t WorkerSession::CancelStragglers(double slowness, Instant read_until, Instant now) {
   std::uint32_t found = 0;
   for (auto& [run, record] : m_runs) {
     if (record.phase != RunPhase::kRunning || !record.coordinator) continue;
     if (record.must_stop || record.straggler) continue;
     const auto expected = FromMillis(ToMillis(record.estimate) * slowness * kStragglerFactor);
-    if (now - record.tracked_since < std::max(kMinStragglerTime, expected)) continue;
+    if (read_until - record.tracked_since < std::max(kMinStragglerTime, expected)) continue;
     record.straggler = true;
     record.must_stop = !record.useful_until ||
                        now + ShortestRunTime(record.estimate, slowness) <= *record.useful_until;
--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -160,12 +160,13 @@
   ctx.work.emplace_back(OwnerWork{OwnerShardOfWorker(event.worker()), event});
 }
 
-void DispatchNode::HandleEvent(const DispatchTick& /*event*/, EventContext& ctx) {
+void DispatchNode::HandleEvent(const DispatchTick& event, EventContext& ctx) {
   const bool was_isolated = m_members.Isolated();
-  HandleMemberChanges(m_members.OnTick(ctx.now), ctx);
+  m_own_delay = event.own_delay();
+  HandleMemberChanges(m_members.OnTick(ctx.now, event.own_delay()), ctx);
   if (m_members.Isolated() != was_isolated) AssignWorkers(ctx);
   LogLinkLosses(ctx);
-  QueueForAllOwnerShards(OwnerTick(), ctx);
+  QueueForAllOwnerShards(OwnerTick(event.own_delay()), ctx);
   QueueForAllJobShards(JobTick(), ctx);
   ProcessQueue(ctx);
   KeepContacts(ctx);
@@ -224,7 +225,7 @@
         outgoing.to(),
         MemberHeartbeat(m_listing, m_draining, outgoing.sequence(), outgoing.echo(),
                         outgoing.link_losses(), m_configuration.version(), m_tokens.highest(),
-                        outgoing.parting(), worker_list, doubted_runs)));
+                        outgoing.parting(), worker_list, doubted_runs, m_own_delay)));
   }
 }
 
--- a/src/transport/dispatch_service.cc
+++ b/src/transport/dispatch_service.cc
@@ -141,7 +141,7 @@
   void ScheduleNextTick(Instant due) {
     m_on_tick_delay(m_clock.Now() - due, kTick);
     m_overload.OnTick();
-    m_runner.Accept(DispatchTick());
+    m_runner.Accept(DispatchTick(m_overload.LongestRecentDelay()));
     m_gate.Sweep();
     const Instant next = m_clock.Now() + kTick;
     m_timers.At(next, [this, next] { ScheduleNextTick(next); });
--- a/tests/unit/unit-dispatch_codec.cpp
+++ b/tests/unit/unit-dispatch_codec.cpp
@@ -43,6 +43,8 @@
       kNode, {RunReport(kRun, RunTransition::kReleased, RunEnd::kAbsent, "w1", "new_owner")},
       CapacityUpdate({digest}, true)));
   CheckDispatchRoundTrip(MemberHeartbeat(MemberListing(kNode, "celaya", 250), true, 1, 2, 3, 4, 5));
+  CheckDispatchRoundTrip(MemberHeartbeat(MemberListing(kNode, "celaya", 250), false, 1, 2, 3, 4, 5,
+                                         false, std::nullopt, {}, std::chrono::milliseconds(420)));
   CheckDispatchRoundTrip(RunReports(kNode, {}, CapacityUpdate({}, false), kNode));
   CheckDispatchRoundTrip(CapacityAnnouncement(kNode, "celaya", {digest}));
   CheckDispatchRoundTrip(CapacityRelay({CapacityAnnouncement(kNode, "leon", {digest})}));
--- a/tests/unit/unit-member_table.cpp
+++ b/tests/unit/unit-member_table.cpp
@@ -392,3 +392,35 @@
   CHECK_FALSE(table.IsKnown(Node(2, 3)));
   CHECK_FALSE(table.IsKnown(Node(3)));
 }
+
+// VMs short of CPU time counted each other as lost, and the recovery took the time that was left.
+TEST_CASE("a member is not lost because its heartbeats are late at either end") {
+  MemberTable table(MemberListing(kSelf, "celaya", kMilliCores), kLeases);
+  const auto hear = [&](int member_delay_ms) {
+    const MemberListing from(Node(2), "celaya", kMilliCores);
+    std::uint64_t echo = 0;
+    for (const OutgoingHeartbeat& one : table.DueHeartbeats(kStart)) echo = one.sequence();
+    table.OnHeartbeat(MemberHeartbeat(from, false, 1, echo, 0, 0, 0, false, std::nullopt, {},
+                                      Millis(member_delay_ms)),
+                      kStart);
+  };
+  SECTION("without a delay its silence is noticed") {
+    hear(0);
+    CHECK_FALSE(Has(table.OnTick(kStart + Millis(600)), MemberChange::Kind::kLost));
+    CHECK(Has(table.OnTick(kStart + Millis(650)), MemberChange::Kind::kLost));
+  }
+  SECTION("this VM may not have read them yet") {
+    hear(0);
+    CHECK_FALSE(Has(table.OnTick(kStart + Millis(900), Millis(300)), MemberChange::Kind::kLost));
+    CHECK(Has(table.OnTick(kStart + Millis(950), Millis(300)), MemberChange::Kind::kLost));
+  }
+  SECTION("it has said that it is late") {
+    hear(400);
+    CHECK_FALSE(Has(table.OnTick(kStart + Millis(1000)), MemberChange::Kind::kLost));
+    CHECK(Has(table.OnTick(kStart + Millis(1050)), MemberChange::Kind::kLost));
+  }
+  SECTION("a member that is late without end is replaced all the same") {
+    hear(60000);
+    CHECK(Has(table.OnTick(kStart + Millis(2650), Millis(60000)), MemberChange::Kind::kLost));
+  }
+}
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -1270,3 +1270,20 @@
   CHECK(stops_of(460) == 1);
   CHECK(stops_of(440) == 0);
 }
+
+// A VM short of CPU time stopped runs whose ends it had not read yet.
+TEST_CASE("an owner that is late stops no run whose end may have arrived") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 1)});
+  owner.Place({0});
+  REQUIRE(owner.starts.size() == 1);
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  for (int ms = 0; ms < 600; ms += 50) {
+    owner.now += Millis(50);
+    owner.Feed(OwnerTick(Millis(250)));
+  }
+  CHECK(owner.stops.empty());
+  owner.now += Millis(50);
+  owner.Feed(OwnerTick(Millis(250)));
+  CHECK(owner.stops.size() == 1);
+}
