--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -18,6 +18,7 @@
 #include "fleet_paths.h"
 #include "fleet_worker.h"
 #include "sapphireflow/routing/dispatch_node.h"
+#include "sapphireflow/transport/recent_delay.h"
 
 namespace sapphireflow::simulation {
 
@@ -173,6 +174,14 @@
     }
   }
 
+  // a tick, with how late the node has handled its ticks lately
+  DispatchEvent TickOf(std::size_t node) {
+    TickTimes& times = m_tick_times[node];
+    if (times.last) times.delay.Add(m_now - *times.last - Millis(50), m_now);
+    times.last = m_now;
+    return DispatchTick(times.delay.Longest(m_now));
+  }
+
   // as Feed, unless the member has been started again since
   void FeedIfAlive(std::size_t node, std::uint32_t epoch, DispatchEvent event) {
     if (m_epochs[node] == epoch) Feed(node, std::move(event));
@@ -182,7 +191,8 @@
     if (const auto* listed = std::get_if<EvacuationsListed>(&event)) {
       m_evacuated[node] = listed->zones();
     }
-    const DispatchEffects effects = m_nodes[node]->Apply(DispatchInput(m_now, event));
+    const DispatchEvent told = std::holds_alternative<DispatchTick>(event) ? TickOf(node) : event;
+    const DispatchEffects effects = m_nodes[node]->Apply(DispatchInput(m_now, told));
     if (!m_evacuated[node].empty()) CheckEvacuation(node, effects);
     // the threads of a node may execute effects after those of a later event
     const Duration extra_delay = Chance(0.01) ? Millis(Pick(30)) : Duration::zero();
@@ -600,6 +610,7 @@
     m_members[node] = MemberListing(NodeId(address, m_members[node].node().incarnation() + 1),
                                     m_members[node].zone(), m_members[node].milli_cores());
     m_nodes[node] = MakeNode(node);
+    m_tick_times.erase(node);
     m_resume_at[node] = m_now;
     for (std::size_t i = 0; i < m_node_count; ++i) {
       if (i == node) continue;
@@ -789,6 +800,11 @@
   std::size_t m_node_count = 0;
   // which member last ordered the start of a task that crashes its workers
   std::optional<std::size_t> m_last_crash_giver;
+  struct TickTimes {
+    std::optional<Instant> last;
+    RecentDelay delay;
+  };
+  std::map<std::size_t, TickTimes> m_tick_times;
   std::vector<std::unique_ptr<DispatchNode>> m_nodes;
   // when each stalled node resumes
   std::vector<Instant> m_resume_at;
