Place a declined task again when the owners' announcements may have changed

Callers saw, under load: nothing started while orders went to and fro. Each owner declined them for the room that another one had announced, 1,400 times in half a second, and each decline carries the owner's whole digest.

Change: after three prompt tries the wait doubles from 50 to 200 ms.

--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -98,6 +98,8 @@
     WorkerId worker;
     std::uint32_t failures = 0;
     std::uint32_t declines = 0;
+    // not placed again before
+    Instant place_again_at{};
     // workers on which runs of the task failed or were lost, each once
     std::vector<WorkerId> avoid;
     void Avoid(const WorkerId& id) {
--- a/src/dispatch/job_shard.cc
+++ b/src/dispatch/job_shard.cc
@@ -14,9 +14,12 @@
 // answers are kept this long for duplicate submissions that arrive late
 constexpr Duration kFinishedRetention = std::chrono::seconds(10);
 constexpr std::size_t kMaxFinished = 5000;
-// after more consecutive declines or lost runs than this a task waits for the next tick to be
-// placed again
+// after more consecutive declines or lost runs than this a task waits to be placed again
 constexpr std::uint32_t kMaxPromptRetries = 3;
+// The wait after such a decline. It doubles with each further one, up to the interval at which
+// owners announce their capacity.
+constexpr Duration kInitialDeclineBackoff = std::chrono::milliseconds(50);
+constexpr std::uint32_t kMaxDeclineDoublings = 2;
 // By how much the run number of a task rises after a worker has known a higher one.
 constexpr std::uint32_t kStaleRunStep = 12;
 // Ticks arrive every 50 ms. After a longer gap a caller may have left and submitted its job to
@@ -203,7 +206,7 @@
     const StepSpec& step = order.steps()[s];
     for (std::uint32_t i = 0; i < job.tasks[s].size(); ++i) {
       Task& task = job.tasks[s][i];
-      if (task.phase != TaskPhase::kReady) continue;
+      if (task.phase != TaskPhase::kReady || now < task.place_again_at) continue;
       const RunKey run(TaskKey(order.key(), 0, s, i), task.run_number + 1);
       const TaskStanding standing = m_crashes.StandingOf(run.task(), now);
       if (standing == TaskStanding::kOnHold) continue;
@@ -401,7 +404,14 @@
   }
   const bool routine = report.worker().empty() && task.declines <= kMaxPromptRetries;
   if (!routine) LogDeclined(job, task, report, now, out);
-  if (task.declines <= kMaxPromptRetries) PlaceReady(job, now, out);
+  if (task.declines <= kMaxPromptRetries) {
+    PlaceReady(job, now, out);
+    return;
+  }
+  // what is known of the owners changes with their announcements only
+  const std::uint32_t doublings =
+      std::min(task.declines - kMaxPromptRetries - 1, kMaxDeclineDoublings);
+  task.place_again_at = now + kInitialDeclineBackoff * (1U << doublings);
 }
 
 void JobShard::LogDeclined(const Job& job, const Task& task, const RunReport& report, Instant now,
--- a/tests/unit/unit-caller_time.cpp
+++ b/tests/unit/unit-caller_time.cpp
@@ -155,3 +155,28 @@
   CHECK(node.Placed().size() <= 6);
   CHECK(node.answers.empty());
 }
+
+// Under overload, orders went to and fro between owners that all declined them, at every tick.
+TEST_CASE("a task that is declined again and again is placed less and less often") {
+  Coordinator node;
+  node.Submit({Work(100)}, 1, Millis(20000));
+  const auto decline_for = [&node](int ms) {
+    const auto placed_before = node.Placed().size();
+    for (int passed = 0; passed < ms; passed += kTickMs) {
+      const auto number = static_cast<std::uint32_t>(node.Placed().size());
+      node.Report(0, 0, number, RunTransition::kDeclined, RunEnd::kAbsent, kOwner,
+                  "room_elsewhere");
+      node.Pass(Millis(kTickMs));
+    }
+    return node.Placed().size() - placed_before;
+  };
+  decline_for(2000);
+  // owners announce their capacity every 200 ms
+  CHECK(decline_for(4000) <= 4000 / 200 + 1);
+  // it is still served once an owner takes it
+  node.Pass(Millis(200));
+  const auto number = static_cast<std::uint32_t>(node.Placed().size());
+  node.Report(0, 0, number, RunTransition::kStarted);
+  node.Report(0, 0, number, RunTransition::kEnded);
+  CHECK(node.VerdictOf(1) == JobVerdict::kCompleted);
+}
