Blame no worker for a start that this VM did not send

Callers saw, under load: workers out of service while they were idle, and tasks declined for room elsewhere.

Cause: a start that ran out of time in this VM's own queue counted as a failure of its worker: three in a row take the worker out of service for 1 s and more, and each made it wait for a renewal.

Change: such a start is declined, and nothing else. A worker that is away shows by its renewals.

Evidence: "a start that was not sent in time does not count against its worker" fails on the commit before.

--- a/src/ownership/worker_session_replies.cc
+++ b/src/ownership/worker_session_replies.cc
@@ -61,7 +61,6 @@
       }
       break;
     case CallOutcome::kUnhealthy:
-    case CallOutcome::kNotSent:
     case CallOutcome::kConnectionRefused:
       ++delta.failures;
       m_suspect = true;
@@ -78,6 +77,8 @@
         m_worker_clock_read_at = now;
       }
       break;
+    // this VM may have been too late to send it; a worker that is away shows by its renewals
+    case CallOutcome::kNotSent:
     case CallOutcome::kStaleRun:
     case CallOutcome::kNoFreeCapacity:
     case CallOutcome::kBadOrder:
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -1287,3 +1287,15 @@
   owner.Feed(OwnerTick(Millis(250)));
   CHECK(owner.stops.size() == 1);
 }
+
+// A VM that was too late to send its orders took its workers out of service for it.
+TEST_CASE("a start that was not sent in time does not count against its worker") {
+  OwnerHarness owner("consecutive-failures");
+  owner.AcquireWorkers({Listing("w1", 1)});
+  for (std::uint32_t index = 0; index < 5; ++index) {
+    owner.Place({index});
+    REQUIRE(owner.starts.size() == index + 1);
+    owner.AnswerStart(owner.starts[index], CallOutcome::kNotSent);
+    CHECK(owner.ReportOf(Run(index))->transition() == RunTransition::kDeclined);
+  }
+}
