Announce no room on a worker whose lease cannot be extended

Callers saw, under load: nothing started although workers were idle; orders went from owner to owner, each of which declined them for the room that others announced.

Cause: an owner starts nothing on a worker while a run there has a coordinator that has not confirmed it for over a second, since the lease may not be extended for it; but it went on announcing that worker's free capacity. Class: what is announced and what is done follow different rules.

Change: the announcement asks the same question as the start.

Evidence: "no room is announced on a worker whose lease cannot be extended for another run" fails on the commit before: 10,000 millicores announced, no start.

--- a/src/ownership/owner_shard_reports.cc
+++ b/src/ownership/owner_shard_reports.cc
@@ -64,8 +64,9 @@
     const auto allowance = may_start && session.Usable() ? AllowedRuns(session, m_now) : 0;
     if (allowance > 0) sum.milli_cores += session.listing().capacity().milli_cores();
     if (!is_included) continue;
-    const Resources free_capacity =
-        session.runs() < allowance ? session.FreeCapacity() : Resources(0, 0, 0);
+    // a run there may be unwanted, so that the lease cannot be extended for another one
+    const bool takes_runs = session.runs() < allowance && session.HasLeaseForStart(m_now);
+    const Resources free_capacity = takes_runs ? session.FreeCapacity() : Resources(0, 0, 0);
     if (free_capacity.milli_cores() > 0 || !only_workers.empty()) {
       sum.free_capacity.emplace_back(id, free_capacity, m_speeds.Slowness(id));
     }
--- a/tests/unit/unit-owner_shard.cpp
+++ b/tests/unit/unit-owner_shard.cpp
@@ -190,6 +190,17 @@
     return std::nullopt;
   }
 
+  // total free CPU capacity that the owner announces
+  std::int64_t AnnouncedMilliCores() const {
+    std::int64_t total = 0;
+    for (const CapacityDigest& digest : m_shard.Digests()) {
+      for (const WorkerFreeCapacity& worker : digest.free_capacity()) {
+        total += worker.available().milli_cores();
+      }
+    }
+    return total;
+  }
+
   // the log lines of an event so far
   std::vector<std::string> Lines(const std::string& event) const {
     std::vector<std::string> found;
@@ -1299,3 +1310,22 @@
     CHECK(owner.ReportOf(Run(index))->transition() == RunTransition::kDeclined);
   }
 }
+
+// Owners announced room on workers on which they could start nothing, and orders went to and fro.
+TEST_CASE("no room is announced on a worker whose lease cannot be extended for another run") {
+  OwnerHarness owner;
+  owner.AcquireWorkers({Listing("w1", 1)});
+  owner.Place({0});
+  REQUIRE(owner.starts.size() == 1);
+  owner.AnswerStart(owner.starts[0], CallOutcome::kOk);
+  CHECK(owner.AnnouncedMilliCores() == 10000);
+  // the coordinator of that run has not confirmed it for a while
+  owner.liveness.last_alive[kCoordinator] = owner.now;
+  for (int ms = 0; ms < 1150; ms += 50) {
+    owner.now += Millis(50);
+    owner.Feed(OwnerTick());
+  }
+  owner.Place({1}, kOtherCoordinator);
+  CHECK(owner.starts.size() == 1);
+  CHECK(owner.AnnouncedMilliCores() == 0);
+}
