--- a/include/sapphireflow/dispatch/job_shard.h
+++ b/include/sapphireflow/dispatch/job_shard.h
@@ -120,9 +120,9 @@
     std::uint32_t requests = 0;
   };
   struct Caller {
-    RequestToken token;
+    RequestToken token = 0;
     // after this time the answer is of no use to it
-    Instant deadline;
+    Instant deadline{};
   };
   // a submission of a job whose last runs are still being stopped
   struct Resubmission {
--- a/src/admission/overload_controller.cc
+++ b/src/admission/overload_controller.cc
@@ -146,11 +146,14 @@
   priority.offered += 1;
   m_offered += 1;
   const Duration delay = m_loops[IndexOf(WorstLoop(job.at()))].At(job.at());
-  if (job.time_left() <= delay)
+  if (job.time_left() <= delay) {
     return OverloadVerdict::Refuse(RetryAfterShedding(job.key(), m_share));
+  }
   if (priority.share >= 1) return OverloadVerdict::Admit();
   priority.credit += priority.share;
-  if (priority.credit < 1) return OverloadVerdict::Refuse(RetryAfterShedding(job.key(), m_share));
+  if (priority.credit < 1) {
+    return OverloadVerdict::Refuse(RetryAfterShedding(job.key(), m_share));
+  }
   priority.credit -= 1;
   return OverloadVerdict::Admit();
 }
--- a/tests/unit/unit-http_client.cpp
+++ b/tests/unit/unit-http_client.cpp
@@ -17,18 +17,23 @@
 
 namespace {
 
+// @return the port
+std::uint16_t ListenOnLoopback(int listener) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  socklen_t size = sizeof address;
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  listen(listener, 8);
+  return ntohs(address.sin_port);
+}
+
 // responds to the first request of a connection and closes it after reading the second
 class ClosingServer {
  public:
   ClosingServer() : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-    port = ntohs(address.sin_port);
-    listen(m_socket, 8);
+    port = ListenOnLoopback(m_socket);
     m_thread = std::thread([this] { Serve(); });
   }
   ~ClosingServer() {
@@ -129,14 +134,7 @@
  public:
   explicit TricklingServer(std::size_t sent_bytes)
       : m_sent_bytes(sent_bytes), m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-    port = ntohs(address.sin_port);
-    listen(m_socket, 8);
+    port = ListenOnLoopback(m_socket);
     m_thread = std::thread([this] { Serve(); });
   }
   ~TricklingServer() {
@@ -205,14 +203,7 @@
  public:
   explicit DelayedServer(Duration delay)
       : m_delay(delay), m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-    port = ntohs(address.sin_port);
-    listen(m_socket, 8);
+    port = ListenOnLoopback(m_socket);
     m_thread = std::thread([this] { Serve(); });
   }
   ~DelayedServer() {
--- a/tests/unit/unit-overload_refusal.cpp
+++ b/tests/unit/unit-overload_refusal.cpp
@@ -127,6 +127,15 @@
 const std::string kBody = R"({"spec":"x","best_effort":true,)"
                           R"("steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimated_ms":20}]})";
 
+// the job of kName and kBody
+JobOrderPtr KnownOrder() {
+  const auto submission = DecodeSubmission(0xa7, kBody);
+  const QueueConfig queue("jobs", "shop", "/jobs/", "workshop", 2, 1, 1.6,
+                          std::chrono::milliseconds(60), std::chrono::milliseconds(1500));
+  return std::get<JobOrderPtr>(
+      MakeJobOrder(queue, std::get<JobSubmission>(submission), std::chrono::milliseconds(1500)));
+}
+
 }  // namespace
 
 TEST_CASE("a job is refused before its body is decoded, other requests are not") {
@@ -149,12 +158,7 @@
 
 TEST_CASE("a job that this VM knows is not refused when it is submitted again") {
   OverloadedVm vm;
-  const auto submission = DecodeSubmission(0xa7, kBody);
-  const QueueConfig queue("jobs", "shop", "/jobs/", "workshop", 2, 1, 1.6,
-                          std::chrono::milliseconds(60), std::chrono::milliseconds(1500));
-  const auto order =
-      MakeJobOrder(queue, std::get<JobSubmission>(submission), std::chrono::milliseconds(1500));
-  vm.Accept(SubmitJobOrder(99, std::get<JobOrderPtr>(order)));
+  vm.Accept(SubmitJobOrder(99, KnownOrder()));
   vm.events.clear();
   CHECK(vm.Request("POST", kName, kBody).empty());
   REQUIRE(vm.events.size() == 1);
@@ -165,12 +169,7 @@
 // Guards against callers who get past overload control because they have come before.
 TEST_CASE("a job whose caller has left is refused like a new one when it is submitted again") {
   OverloadedVm vm;
-  const auto submission = DecodeSubmission(0xa7, kBody);
-  const QueueConfig queue("jobs", "shop", "/jobs/", "workshop", 2, 1, 1.6,
-                          std::chrono::milliseconds(60), std::chrono::milliseconds(1500));
-  const auto order =
-      MakeJobOrder(queue, std::get<JobSubmission>(submission), std::chrono::milliseconds(1500));
-  vm.Accept(SubmitJobOrder(99, std::get<JobOrderPtr>(order)));
+  vm.Accept(SubmitJobOrder(99, KnownOrder()));
   vm.Accept(CallerDisconnected(99));
   const auto refused = vm.Request("POST", kName, kBody);
   REQUIRE(refused.size() == 1);
