--- a/src/routing/dispatch_node.cc
+++ b/src/routing/dispatch_node.cc
@@ -28,8 +28,9 @@
 constexpr Duration kWorkerListReadTime = std::chrono::milliseconds(500);
 // Workers of each owner that members of other zones are told of.
 constexpr std::size_t kRelayedWorkers = 4;
-// Added to the time until a lease expires: a lost owner is replaced within the maximum silence
-// timeout plus one tick, and its successor may have the run.
+// Added to the time until a lease expires: an owner on time that is lost is replaced within the
+// maximum silence timeout plus one tick, and its successor may have the run. A successor that comes
+// later extends no lease of a run that its coordinator doubts.
 constexpr Duration kTakeoverAllowance = std::chrono::milliseconds(1050);
 
 // Between the decision to claim a run and the reading of the echo that its claim carries.
