Weigh the wait behind higher priorities by the last caller's time

Callers saw: a repeated submission of a job that waits behind runs of higher priority was refused by what was left of the first submission's time.

Evidence: "a job that waits behind higher priorities is not refused while a later caller has time" fails on the commit before; unit-repeated_submission, unit-caller_time, unit-job_shard and unit-job_load pass.

--- a/src/dispatch/job_shard_deadlines.cc
+++ b/src/dispatch/job_shard_deadlines.cc
@@ -74,9 +74,9 @@
 
 bool JobShard::IsCrowdedOut(const Job& job, Instant now) const {
   const JobOrder& order = *job.order;
-  const auto longest_wait = m_feasibility->LongestWait(
-      order, StatesOf(job), job.received_at + order.answer_timeout() - now,
-      m_capacity_view.SmallestSlowness(order.service()));
+  const auto longest_wait =
+      m_feasibility->LongestWait(order, StatesOf(job), DeadlineOf(job) - now,
+                                 m_capacity_view.SmallestSlowness(order.service()));
   return longest_wait && m_capacity_view.IsFullFor(order, *longest_wait, now);
 }
 
--- a/tests/unit/unit-repeated_submission.cpp
+++ b/tests/unit/unit-repeated_submission.cpp
@@ -81,3 +81,19 @@
     CHECK(order->time_to_deadline() == Millis(700));
   }
 }
+
+// Guards against a refusal by the time of an earlier caller.
+TEST_CASE(
+    "a job that waits behind higher priorities is not refused while a later caller has time") {
+  Coordinator node;
+  node.Submit({Work(100)}, 1);
+  node.Pass(Millis(1000));
+  node.Submit({Work(100)}, 2);
+  const Duration wait = Millis(900);
+  node.local_view.Update(kOwner, "celaya",
+                         CapacityDigest(kService, {}, wait, 16000, {PriorityWait(0, wait)}));
+  node.Pass(Millis(50));
+  CHECK(node.Count<CancelRuns>() == 0);
+  node.Pass(Millis(600));
+  CHECK(node.Count<CancelRuns>() == 1);
+}
