--- a/review/standins-2/standin.h
+++ b/review/standins-2/standin.h
@@ -514,6 +514,19 @@
   /// How long a stop takes; at most 50 ms by the pages.
   std::int64_t stop_ms = 20;
   std::int64_t milli_cores = 64000;
+  /// The highest fencing token that it has seen: it tells which machine gave the last order.
+  std::uint64_t Token() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_token;
+  }
+  /// Besides the kind, the labels that the worker reports.
+  std::vector<std::string> labels = {"a", "r1-1"};
+  /// Ends the tasks whose spec is 0, which last until then.
+  void EndOpenTasks() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (auto& [task, run] : m_running)
+      run.ends_at = std::min(run.ends_at, run.open ? 0 : run.ends_at);
+  }
   /// Reports that it drains, and goes on serving.
   /// @return when the store had accepted the report.
   std::int64_t Drain() {
@@ -541,6 +554,7 @@
     std::uint32_t number;
     std::int64_t ends_at;
     std::int64_t stops_at;  // 0: not asked to stop
+    bool open;              // lasts until EndOpenTasks
   };
   std::int64_t Clock() const { return 400000 + NowMs() - m_born_at; }
   Json Entry() {
@@ -553,7 +567,7 @@
             {"state", m_draining ? "draining" : "ready"},
             {"cold_remaining_ms", 0},
             {"capacity", {{"cpu", milli_cores}, {"mem_mb", 131072}, {"gpu", 0}}},
-            {"labels", {"a", "r1-1"}},
+            {"labels", labels},
             {"clock_ms", Clock()},
             {"sequence", ++m_sequence},
             {"born", m_born_ms}};
@@ -593,7 +607,7 @@
     if (expires_ms <= Clock()) return Answer(409, {{"reason", "late"}});
     Extend(expires_ms);
     const auto length = std::stoll(body.at("spec").get<std::string>());
-    m_running[task] = Run{number, NowMs() + length, 0};
+    m_running[task] = Run{number, length == 0 ? INT64_MAX : NowMs() + length, 0, length == 0};
     m_runs.Started(m_id, task, number);
     if (on_start) on_start(task);
     return Answer(200, {});
@@ -827,13 +841,13 @@
             {"idle_timeout_ms", 15000}}}};
 }
 
-inline std::string JobBody(int run_ms, int tasks, int estimate_ms, int milli_cores = 1000) {
-  return Json{{"spec", std::to_string(run_ms)},
-              {"best_effort", true},
-              {"steps", Json::array({{{"count", tasks},
-                                      {"cpu", milli_cores},
-                                      {"mem_mb", 64},
-                                      {"estimated_ms", estimate_ms}}})}}
+inline std::string JobBody(int run_ms, int tasks, int estimate_ms, int milli_cores = 1000,
+                           const std::string& label = "") {
+  Json step = {
+      {"count", tasks}, {"cpu", milli_cores}, {"mem_mb", 64}, {"estimated_ms", estimate_ms}};
+  if (!label.empty()) step["requires"] = label;
+  return Json{
+      {"spec", std::to_string(run_ms)}, {"best_effort", true}, {"steps", Json::array({step})}}
       .dump();
 }
 
