Review: cases 11 to 15 in order of gravity, with their final stand-ins

12 is the case of the broken connection, 14 the one of the repeated step, 15 the cancel at another node. New is 13: two queues whose clients choose the same ID.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for program in cancelled_job heavy_job broken_connection; do
+for program in broken_connection cancelled_job heavy_job same_id; do
   c++ -std=c++17 -O1 -Wall -Wextra -o "target/review-3/$program" \
     "review/standins-3/$program.cc" review/standins-3/fleet.cc review/standins-3/http.cc -pthread
 done
--- a/review/standins-3/fleet.cc
+++ b/review/standins-3/fleet.cc
@@ -267,10 +267,12 @@
   return m_runs;
 }
 
-Worker::Worker(std::string id, const Endpoint& at, std::string zone, std::int64_t cpu, Runs& runs)
+Worker::Worker(std::string id, const Endpoint& at, std::string zone, std::string service,
+               std::int64_t cpu, Runs& runs)
     : m_id(std::move(id)),
       m_at(at),
       m_zone(std::move(zone)),
+      m_service(std::move(service)),
       m_cpu(cpu),
       m_runs(runs),
       m_born_at(NowMs()),
@@ -281,7 +283,7 @@
 
 Json Worker::Entry() {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  return {{"backend", "workshop"},
+  return {{"backend", m_service},
           {"address", m_at.Text()},
           {"zone", m_zone},
           {"version", "v1"},
@@ -543,8 +545,9 @@
                                [this](const Request& request) { return m_store.Handle(request); });
   for (int i = 0; i < plan.workers; ++i) {
     const std::string zone = "zone-" + std::to_string(i % plan.zones + 1);
+    const std::string service = plan.two_services && i % 2 == 1 ? "paintshop" : "workshop";
     m_workers.push_back(std::make_unique<Worker>("i-7f3a91c" + std::to_string(i),
-                                                 Endpoint{IpOf(100 + i), 8080}, zone,
+                                                 Endpoint{IpOf(100 + i), 8080}, zone, service,
                                                  plan.worker_cpu, m_runs));
     m_registered.push_back(true);
   }
@@ -596,6 +599,17 @@
 
 void Fleet::Configure(const std::vector<std::string>& routes) {
   Json rows = Json::array();
+  Json services = Json::array();
+  for (const char* name : {"workshop", "paintshop"}) {
+    if (!m_plan.two_services && !services.empty()) break;
+    services.push_back({{"name", name},
+                        {"health_path", "/health"},
+                        {"max_connections", 64},
+                        {"protocol", "h1"},
+                        {"tls_enabled", false},
+                        {"enforces_capacity", false},
+                        {"spare", false}});
+  }
   for (const std::string& route : routes) {
     rows.push_back({{"name", "r-" + route},
                     {"hostname", kHost},
@@ -604,21 +618,14 @@
                     {"timeout_ms", m_plan.timeout_ms},
                     {"target_duration_ms", 60},
                     {"priority", 0},
-                    {"backend", "workshop"},
+                    {"backend", m_plan.two_services && !rows.empty() ? "paintshop" : "workshop"},
                     {"max_attempts", 3},
                     {"stretch", 1.6}});
   }
   m_version += 3;
   const Json config = {{"version", m_version},
                        {"routes", std::move(rows)},
-                       {"services",
-                        {{{"name", "workshop"},
-                          {"health_path", "/health"},
-                          {"max_connections", 64},
-                          {"protocol", "h1"},
-                          {"tls_enabled", false},
-                          {"enforces_capacity", false},
-                          {"spare", false}}}},
+                       {"services", std::move(services)},
                        {"limits",
                         {{"max_header_bytes", 16384},
                          {"max_body_bytes", 262144},
--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -102,7 +102,8 @@
 /// Thread-safe.
 class Worker {
  public:
-  Worker(std::string id, const Endpoint& at, std::string zone, std::int64_t cpu, Runs& runs);
+  Worker(std::string id, const Endpoint& at, std::string zone, std::string service,
+         std::int64_t cpu, Runs& runs);
   bool Open() { return m_server.Open(); }
   /// Its entry in the store.
   Json Entry();
@@ -135,6 +136,7 @@
   const std::string m_id;
   const Endpoint m_at;
   const std::string m_zone;
+  const std::string m_service;
   const std::int64_t m_cpu;
   Runs& m_runs;
   std::atomic<int> m_late_ms{0};
@@ -189,6 +191,8 @@
   std::int64_t worker_cpu = 16000;
   // of the route
   int timeout_ms = 1500;
+  // every other worker belongs to the service `paintshop`
+  bool two_services = false;
   // each node reaches the store by a proxy of its own
   bool store_links = false;
 };
@@ -204,12 +208,14 @@
   Worker& worker(int index) { return *m_workers[static_cast<std::size_t>(index)]; }
   Proxy& store_link(int index) { return *m_store_links[static_cast<std::size_t>(index)]; }
   int nodes() const { return static_cast<int>(m_nodes.size()); }
+  int workers() const { return static_cast<int>(m_workers.size()); }
   Store& store() { return m_store; }
   Runs& runs() { return m_runs; }
   /// Starts a node's process again.
   bool StartNode(int index);
   bool WaitReady(int index, std::int64_t limit_ms);
-  /// Writes the configuration with these routes; each has the service `workshop`.
+  /// Writes the configuration with these routes. The first one has the service `workshop`; with
+  /// two services the others have `paintshop`.
   void Configure(const std::vector<std::string>& routes);
   /// Writes a worker's entry to the store now.
   void Publish(int worker);
